--- /dev/null
+++ b/frostpost/gate/app.py
@@ -0,0 +1,147 @@
+from klein import Klein
+from msgspec import json
+from twisted.internet.defer import inlineCallbacks
+from twisted.web.server import Request, Site
+
+from frostpost.orchard.context import count, nowMs
+from frostpost.orchard.news import say
+from . import calls, control, faults, reads
+from .lookups import lookup
+from .turns import turn
+
+
+def turnAway(request, fault, requestId):
+    request.setResponseCode(fault.status)
+    request.setHeader("content-type", "application/json")
+    request.setHeader("x-request", requestId)
+    retry = faults.retryAfter(fault)
+    if retry:
+        request.setHeader("retry-after", retry)
+    return faults.body(fault, requestId)
+
+
+def answer(request, document, requestId=""):
+    request.setHeader("content-type", "application/json")
+    if requestId:
+        request.setHeader("x-request", requestId)
+    return json.encode(document)
+
+
+def watchCaller(call):
+    def gone(_):
+        call.gone = True
+        if call.stop:
+            call.stop()
+    call.request.notifyFinish().addErrback(gone)
+
+
+@inlineCallbacks
+def serve(ctx, call, handler):
+    fault = calls.admit(ctx, call)
+    if fault is None:
+        ctx.flights += 1
+        watchCaller(call)
+        try:
+            result = yield handler(ctx, call)
+        except Exception as broken:
+            say("Internal", request=call.id, type=type(broken).__name__, text=str(broken)[:200])
+            result = faults.Internal()
+        finally:
+            ctx.flights -= 1
+    else:
+        result = fault
+    count(ctx, f"{call.kind}/{type(result).__name__ if result is not None else 'served'}")
+    say("call", request=call.id, lane=f"{call.tenant}/{call.laneName}", tookMs=nowMs() - call.startedMs,
+        verdict="served" if result is None else type(result).__name__)
+    return result
+
+
+@inlineCallbacks
+def serveTurn(ctx, request, tenant, lane):
+    call = calls.make("turns", tenant, lane, request)
+    fault = yield serve(ctx, call, turn)
+    if call.gone:
+        return b""
+    if fault is None:
+        return b""
+    if call.emitted:
+        return faults.body(fault, call.id) + b"\n"
+    return turnAway(request, fault, call.id)
+
+
+@inlineCallbacks
+def serveLookup(ctx, request, tenant, lane):
+    call = calls.make("lookups", tenant, lane, request)
+    box = []
+
+    @inlineCallbacks
+    def handler(ctx, call):
+        result = yield lookup(ctx, call)
+        if result.is_error():
+            return result.error
+        box.append(result.ok)
+        return None
+    fault = yield serve(ctx, call, handler)
+    if call.gone:
+        return b""
+    if fault is not None:
+        return turnAway(request, fault, call.id)
+    return answer(request, {"result": box[0], "request": call.id}, call.id)
+
+
+class Bounded(Request):
+    most = 1 << 20
+    mostConfig = 64 << 20
+
+    def gotLength(self, length):
+        self.tooLong = length is not None and length > self.mostConfig
+        super().gotLength(0 if self.tooLong else length)
+
+    def handleContentChunk(self, data):
+        most = self.mostConfig if b"/v1/config" in self.uri else self.most
+        self.took = getattr(self, "took", 0) + len(data)
+        if self.took <= most:
+            super().handleContentChunk(data)
+        else:
+            self.tooLong = True
+
+    def process(self):
+        if getattr(self, "tooLong", False):
+            body = turnAway(self, faults.TooLong(self.most), "")
+            self.setHeader("connection", "close")
+            self.write(body)
+            self.finish()
+            return
+        super().process()
+
+
+def build(ctx):
+    app = Klein()
+
+    @app.route("/v1/tenants/<tenant>/lanes/<lane>/turns", methods=["POST"])
+    def turns(request, tenant, lane):
+        return serveTurn(ctx, request, tenant, lane)
+
+    @app.route("/v1/tenants/<tenant>/lanes/<lane>/lookups", methods=["POST"])
+    def lookups(request, tenant, lane):
+        return serveLookup(ctx, request, tenant, lane)
+
+    control.routes(app, ctx, answer, turnAway)
+    reads.routes(app, ctx, answer, turnAway)
+
+    @app.handle_errors(Exception)
+    def broken(request, failure):
+        code = getattr(failure.value, "code", 500)
+        if code == 404:
+            return turnAway(request, faults.NoSuch("there is nothing at this path"), "")
+        if code == 405:
+            return turnAway(request, faults.WrongMethod(), "")
+        say("Internal", type=failure.type.__name__, text=failure.getErrorMessage()[:200])
+        return turnAway(request, faults.Internal(), "")
+
+    site = Site(app.resource(), timeout=75)
+    bounded = type("Bounded", (Bounded,), {
+        "most": ctx.settings.doors.bodyBytes, "mostConfig": ctx.settings.doors.configBytes})
+    site.requestFactory = bounded
+    site.displayTracebacks = False
+    return site
--- /dev/null
+++ b/frostpost/gate/calls.py
@@ -0,0 +1,143 @@
+from json import JSONDecodeError, loads
+from secrets import token_hex
+
+from expression import Error, Ok
+from msgspec import Struct
+
+from frostpost.orchard.context import nowMs
+from frostpost.orchard.core import leaseOk
+from . import faults
+
+SHARES = {"urgent": 1.0, "normal": 0.8, "batch": 0.6}
+
+
+class Doubled(ValueError):
+    pass
+
+
+class Call(Struct):
+    id: str
+    kind: str
+    tenant: str
+    laneName: str
+    startedMs: int
+    raw: bytes = b""
+    document: dict = {}
+    lane: object = None
+    limitMs: int = 0
+    gone: bool = False
+    stop: object = None
+    request: object = None
+    emitted: int = 0
+
+
+def single(pairs):
+    found = {}
+    for key, value in pairs:
+        if key in found:
+            raise Doubled(key)
+        found[key] = value
+    return found
+
+
+def parse(raw):
+    try:
+        document = loads(raw, object_pairs_hook=single)
+    except Doubled as fault:
+        return Error(faults.BadBody(f"/{fault}", "this field is there twice"))
+    except (JSONDecodeError, UnicodeDecodeError, RecursionError) as fault:
+        return Error(faults.BadBody("/", f"no JSON: {type(fault).__name__}"))
+    if not isinstance(document, dict):
+        return Error(faults.BadBody("/", "must be an object"))
+    return Ok(document)
+
+
+FIELDS = {
+    "turns": {"program": (str, True), "input": (str, True), "limitMs": (int, False),
+              "maxOutput": (int, False)},
+    "lookups": {"input": (str, True), "key": (str, False), "limitMs": (int, False)},
+}
+
+
+def shaped(kind, document):
+    fields = FIELDS[kind]
+    for name in document:
+        if name not in fields:
+            return faults.BadBody(f"/{name}", "is no known field")
+    for name, (type_, needed) in fields.items():
+        if name not in document:
+            if needed:
+                return faults.BadBody(f"/{name}", "is missing")
+            continue
+        value = document[name]
+        if not isinstance(value, type_) or isinstance(value, bool):
+            return faults.BadBody(f"/{name}", f"must be {type_.__name__}")
+        if type_ is int and value <= 0:
+            return faults.BadBody(f"/{name}", "must be above 0")
+        if name in ("program", "key") and not 0 < len(value) <= 200:
+            return faults.BadBody(f"/{name}", "must have 1 to 200 characters")
+    return None
+
+
+def filterLeaving(ctx, call):
+    return faults.Leaving() if ctx.leaving else None
+
+
+def filterBody(ctx, call):
+    result = parse(call.raw)
+    if result.is_error():
+        return result.error
+    call.document = result.ok
+    return shaped(call.kind, call.document)
+
+
+def filterServing(ctx, call):
+    if not leaseOk(ctx.core, nowMs()):
+        return faults.NoPrimary()
+    if ctx.honoured < ctx.needConfig:
+        return faults.ConfigChanging()
+    return None
+
+
+def filterLane(ctx, call):
+    call.lane = ctx.lanes.get((call.tenant, call.laneName))
+    wanted = {"turns": "turn", "lookups": "lookup"}[call.kind]
+    if call.lane is None or call.lane.kind != wanted:
+        return faults.NoLane(f"tenant {call.tenant} has no {wanted} lane {call.laneName}")
+    if call.lane.repeat == "keyed" and call.kind == "lookups" and "key" not in call.document:
+        return faults.BadBody("/key", "this lane needs a key")
+    if "key" in call.document and call.lane.repeat != "keyed":
+        return faults.BadBody("/key", "this lane takes no key")
+    return None
+
+
+def filterLimit(ctx, call):
+    call.limitMs = min(call.document.get("limitMs", call.lane.limitMs), call.lane.limitMs)
+    return faults.LimitPassed() if leftMs(call) <= 0 else None
+
+
+def filterCrowd(ctx, call):
+    share = SHARES[call.lane.urgency] * ctx.settings.doors.inFlight
+    return faults.Crowded() if ctx.flights >= share else None
+
+
+CHAIN = (filterLeaving, filterBody, filterServing, filterLane, filterLimit, filterCrowd)
+
+
+def leftMs(call):
+    return call.limitMs - (nowMs() - call.startedMs)
+
+
+def admit(ctx, call):
+    for filter_ in CHAIN:
+        fault = filter_(ctx, call)
+        if fault is not None:
+            return fault
+    return None
+
+
+def make(kind, tenant, lane, request):
+    request.content.seek(0)
+    return Call(
+        request.getHeader("x-request") or token_hex(8), kind, tenant, lane, nowMs(),
+        raw=request.content.read(), request=request)
--- /dev/null
+++ b/frostpost/gate/control.py
@@ -0,0 +1,180 @@
+from expression import Error, Ok
+from msgspec import json
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.threads import deferToThread
+
+from frostpost.granary.words import ConfigSet, Done, Drain, NotHeld, SetConfig, StaleConfig
+from frostpost.hedgerow.state import majority
+from frostpost.orchard.context import nowMs
+from frostpost.orchard.core import leaseOk
+from frostpost.orchard.heart import ask
+from frostpost.orchard.news import say
+from frostpost.orchard.waiting import until
+from frostpost.tending import shelves
+from frostpost.trellis.shapes import WORD
+from frostpost.trellis.stamp import checkTemplate, checkTenant, patch
+from . import calls, faults
+
+
+def versionOf(ctx, path):
+    mark = ctx.core.granary.configs.get(path)
+    return mark.version if mark else 0
+
+
+def documentOf(ctx, path):
+    held = ctx.documents.get(path)
+    return held[1] if held else None
+
+
+def judge(ctx, kind, name, document):
+    if kind == "tenants":
+        template = f"templates/{document.get('template')}" if isinstance(document, dict) else ""
+        result = checkTenant(name, document, documentOf(ctx, template))
+        return result, ((template, versionOf(ctx, template)),)
+    path = f"templates/{name}"
+    tenants = [
+        (p.split("/", 1)[1], d) for p, (_, d) in ctx.documents.items()
+        if p.startswith("tenants/") and d["template"] == name]
+    bases = tuple((f"tenants/{t}", versionOf(ctx, f"tenants/{t}")) for t, _ in tenants)
+    return checkTemplate(document, tenants), (*bases, *(() if bases else ((path, versionOf(ctx, path)),)))
+
+
+def ifMatch(request, held):
+    said = request.getHeader("if-match")
+    if said is None:
+        return Ok(held)
+    said = said.strip().strip('"')
+    if not said.isdigit():
+        return Error(faults.BadBody("If-Match", "must be a version number"))
+    return Ok(int(said))
+
+
+def ready(ctx):
+    if ctx.leaving:
+        return faults.Leaving()
+    if not leaseOk(ctx.core, nowMs()):
+        return faults.NoPrimary()
+    if ctx.honoured < ctx.core.granary.configIndex:
+        return faults.ConfigChanging()
+    return None
+
+
+@inlineCallbacks
+def take(ctx, request, kind, name):
+    fault = ready(ctx)
+    if fault:
+        return Error(fault)
+    path = f"{kind}/{name}"
+    if kind not in ("templates", "tenants") or not WORD.match(name):
+        return Error(faults.NoSuch("configurations are templates/NAME or tenants/NAME"))
+    held = versionOf(ctx, path)
+    version = ifMatch(request, held)
+    if version.is_error():
+        return version
+    if version.ok != held:
+        return Error(faults.ConfigMoved(path, held))
+    request.content.seek(0)
+    parsed = yield deferToThread(calls.parse, request.content.read())
+    if parsed.is_error():
+        return parsed
+    document = parsed.ok
+    if request.method == b"PATCH":
+        if held == 0:
+            return Error(faults.NoSuch(f"there is no {path} to amend"))
+        document = patch(documentOf(ctx, path), document)
+    result, bases = yield deferToThread(judge, ctx, kind, name, document)
+    if result.is_error():
+        return Error(faults.ConfigFaulty(result.error.faults))
+    body = yield deferToThread(json.encode, document)
+    return (yield order(ctx, path, body, version.ok, bases))
+
+
+@inlineCallbacks
+def order(ctx, path, body, version, bases):
+    doors = ctx.settings.doors
+    item = yield shelves.put(ctx, body)
+
+    def spread():
+        holders = {n for n, p in ctx.core.hedge.peers.items()
+                   if p.news.get(item.source, 0) >= item.number}
+        if ctx.shelf.vector.get(item.source, 0) >= item.number:
+            holders.add(ctx.place.member.name)
+        return majority(ctx.core.granary.voters, holders)
+    if not (yield until(ctx, spread, doors.ackMs)):
+        return Error(faults.Undecided())
+    result = yield ask(ctx, SetConfig(
+        path, item.digest, item.size, version, item.source, item.number, bases), doors.ackMs)
+    if result.is_error():
+        fault = result.error
+        return Error(faults.ConfigUnknown() if isinstance(fault, faults.Undecided) else fault)
+    if isinstance(result.ok, StaleConfig):
+        return Error(faults.ConfigMoved(result.ok.path, result.ok.version))
+    if not isinstance(result.ok, ConfigSet):
+        return Error(faults.ConfigUnknown())
+    index = result.ok.index
+    if not (yield until(ctx, lambda: everywhere(ctx, index, "~honoured"), doors.ackMs)):
+        return Error(faults.ConfigUnknown())
+    say("ConfigSet", path=path, version=result.ok.version, index=index)
+    return Ok({"path": path, "version": result.ok.version, "index": index})
+
+
+def everywhere(ctx, index, what):
+    hedge = ctx.core.hedge
+    now = nowMs()
+    if not leaseOk(ctx.core, now) or now - hedge.installedMs < hedge.bounds.leaseMs:
+        return False
+    for member in hedge.configuration.members:
+        if member == hedge.me:
+            reached = ctx.honoured if what == "~honoured" else hedge.applied
+        else:
+            peer = hedge.peers.get(member.name)
+            if peer is None or peer.place.member != member:
+                return False
+            reached = peer.news.get(what, 0) if what == "~honoured" else peer.applied
+        if reached < index:
+            return False
+    return True
+
+
+@inlineCallbacks
+def drain(ctx, request, name):
+    fault = ready(ctx)
+    if fault:
+        return Error(fault)
+    request.content.seek(0)
+    parsed = calls.parse(request.content.read())
+    if parsed.is_error():
+        return parsed
+    leaving = parsed.ok.get("leaving")
+    if not isinstance(leaving, bool) or len(parsed.ok) != 1:
+        return Error(faults.BadBody("/leaving", "must be true or false, and alone"))
+    result = yield ask(ctx, Drain(name, leaving), ctx.settings.doors.askMs)
+    if result.is_error():
+        return result
+    if isinstance(result.ok, NotHeld):
+        return Error(faults.NoSuch(f"there is no runner {name}"))
+    if not isinstance(result.ok, Done):
+        return Error(faults.ConfigUnknown())
+    index = result.ok.index
+    if not (yield until(ctx, lambda: everywhere(ctx, index, "applied"), ctx.settings.doors.ackMs)):
+        return Error(faults.ConfigUnknown())
+    return Ok({"runner": name, "leaving": leaving, "index": index})
+
+
+def routes(app, ctx, answer, turnAway):
+    def said(request):
+        def finish(result):
+            if result.is_error():
+                return turnAway(request, result.error, "")
+            if "version" in result.ok:
+                request.setHeader("etag", f'"{result.ok["version"]}"')
+            return answer(request, result.ok)
+        return finish
+
+    @app.route("/v1/config/<kind>/<name>", methods=["PUT", "PATCH"])
+    def set_(request, kind, name):
+        return take(ctx, request, kind, name).addCallback(said(request))
+
+    @app.route("/v1/runners/<name>/drain", methods=["POST"])
+    def drain_(request, name):
+        return drain(ctx, request, name).addCallback(said(request))
--- /dev/null
+++ b/frostpost/granary/apply.py
@@ -0,0 +1,114 @@
+from heapq import heappop, heappush
+
+from msgspec import msgpack
+
+from . import duties, keys, programs
+from .programs import stale
+from .words import (
+    Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Granary, Mark, NotHeld, Op, Open, Release,
+    Reserve, Runners, SetConfig, Settle, StaleConfig, Tick, Unclaim, Verdict,
+)
+
+ABSENT_MS = 600000
+decodeOp = msgpack.Decoder(Op).decode
+encode = msgpack.Encoder().encode
+decodeState = msgpack.Decoder(Granary).decode
+
+
+def apply(granary, entry):
+    granary.index = entry.index
+    if entry.number:
+        boot, number = granary.sessions.get(entry.sender.name, (0, 0))
+        if boot == entry.sender.boot and entry.number <= number:
+            return granary, None
+        granary.sessions[entry.sender.name] = (entry.sender.boot, entry.number)
+    return granary, act(granary, entry, decodeOp(entry.payload))
+
+
+def act(granary, entry, op) -> Verdict:
+    match op:
+        case Open(members, cores, voters):
+            granary.members, granary.cores, granary.voters = members, cores, voters
+            programs.orphan(granary)
+            keys.orphan(granary)
+            duties.vacate(granary)
+            return Done(entry.index)
+        case Tick():
+            return tick(granary, entry, op)
+        case Reserve():
+            return programs.reserve(granary, entry, op)
+        case Settle():
+            return programs.settle(granary, entry, op)
+        case Release():
+            return programs.release(granary, entry, op)
+        case ClaimKey():
+            return keys.claim(granary, entry, op)
+        case Finish():
+            return keys.finish(granary, entry, op)
+        case Unclaim():
+            return keys.unclaim(granary, entry, op)
+        case Runners():
+            return list_(granary, entry, op)
+        case Drain():
+            return drain(granary, entry, op)
+        case SetConfig():
+            return config(granary, entry, op)
+        case Ballot():
+            return duties.ballot(granary, entry, op)
+
+
+def tick(granary, entry, op):
+    fault = duties.fenced(granary, "ticks", entry, op.fence)
+    if fault:
+        return fault
+    granary.clockMs += max(0, op.elapsedMs)
+    while granary.expiries and granary.expiries[0][0] <= granary.clockMs:
+        _, kind, name = heappop(granary.expiries)
+        EXPIRE[kind](granary, name)
+    return Done(entry.index)
+
+
+def list_(granary, entry, op):
+    fault = duties.fenced(granary, "list", entry, op.fence)
+    if fault:
+        return fault
+    granary.runners = {r.name: r for r in op.entries}
+    listed = {programs.instanceKey(r) for r in op.entries}
+    for key in granary.leaving:
+        if key not in listed:
+            heappush(granary.expiries, (granary.clockMs + ABSENT_MS, "leaving", key))
+    return Done(entry.index)
+
+
+def expireLeaving(granary, key):
+    if key not in {programs.instanceKey(r) for r in granary.runners.values()}:
+        granary.leaving.pop(key, None)
+
+
+EXPIRE = {"program": programs.expire, "key": keys.expire, "leaving": expireLeaving}
+
+
+def drain(granary, entry, op):
+    runner = granary.runners.get(op.runner)
+    if runner is None:
+        return NotHeld("runner")
+    if op.leaving:
+        granary.leaving[programs.instanceKey(runner)] = entry.index
+    else:
+        granary.leaving.pop(programs.instanceKey(runner), None)
+    return Done(entry.index)
+
+
+def config(granary, entry, op):
+    mark = granary.configs.get(op.path)
+    held = mark.version if mark else 0
+    if held != op.ifVersion:
+        return StaleConfig(op.path, held)
+    fault = stale(granary, op.bases)
+    if fault:
+        return fault
+    version = held + 1
+    granary.configs[op.path] = Mark(
+        version, op.digest, op.size, op.source, op.number, entry.index)
+    granary.configIndex = entry.index
+    return ConfigSet(version, entry.index)
--- /dev/null
+++ b/frostpost/granary/duties.py
@@ -0,0 +1,66 @@
+from hashlib import blake2b
+
+from .words import Done, Duty, Fenced, NotHeld
+
+DUTIES = ("list", "ticks", "calendars")
+
+
+def score(duty, round, name):
+    return blake2b(f"{duty}/{round}/{name}".encode(), digest_size=8).digest()
+
+
+def electors(granary):
+    return granary.cores or tuple(m.name for m in granary.members)
+
+
+def nominee(granary, duty, round):
+    return max(electors(granary), key=lambda n: score(duty, round, n), default="")
+
+
+def vacate(granary):
+    for name in DUTIES:
+        duty = granary.duties.setdefault(name, Duty())
+        if duty.holder is not None and duty.holder not in granary.members:
+            duty.holder, duty.round = None, duty.round + 1
+        if duty.holder is None:
+            duty.ballots = {}
+
+
+def ballot(granary, entry, op):
+    duty = granary.duties.get(op.duty)
+    if duty is None or duty.holder is not None or duty.round != op.round:
+        return NotHeld("round")
+    able = electors(granary)
+    if entry.sender.name not in able:
+        return NotHeld("elector")
+    duty.ballots[entry.sender.name] = op.candidate
+    said = [c for voter, c in duty.ballots.items() if voter in able]
+    for candidate in sorted(set(said)):
+        member = next((m for m in granary.members if m.name == candidate), None)
+        if member and said.count(candidate) * 2 > len(able):
+            duty.holder, duty.fence, duty.ballots = member, entry.index, {}
+            return Done(entry.index)
+    if len(said) == len(able):
+        duty.round, duty.ballots = duty.round + 1, {}
+    return Done(entry.index)
+
+
+def owed(granary, me):
+    if me.name not in electors(granary):
+        return []
+    return [
+        (name, duty.round, nominee(granary, name, duty.round))
+        for name, duty in granary.duties.items()
+        if duty.holder is None and me.name not in duty.ballots
+    ]
+
+
+def held(granary, name, me):
+    duty = granary.duties.get(name)
+    return duty.fence if duty and duty.holder == me else 0
+
+
+def fenced(granary, name, entry, fence):
+    duty = granary.duties.get(name)
+    if duty is None or duty.holder != entry.sender or duty.fence != fence:
+        return Fenced(duty.fence if duty else 0)
--- /dev/null
+++ b/frostpost/granary/words.py
@@ -0,0 +1,215 @@
+from msgspec import Struct
+
+from frostpost.hedgerow.events import Open
+from frostpost.hedgerow.words import Member
+
+
+class Line(Struct, array_like=True, frozen=True):
+    input: str
+    output: str
+    sum: int
+
+
+class Program(Struct, array_like=True):
+    budget: int
+    keepMs: int
+    spent: int = 0
+    reserved: int = 0
+    turn: int = 0
+    touchedMs: int = 0
+    lines: list[Line] = []
+
+
+class Reservation(Struct, array_like=True, frozen=True):
+    program: str
+    owner: Member
+    amount: int
+    runner: str
+
+
+class Claim(Struct, array_like=True):
+    digest: str
+    owner: Member
+    windowMs: int
+    status: str = "held"
+    verdict: bytes = b""
+    endedMs: int = -1
+
+
+class Runner(Struct, array_like=True, frozen=True):
+    name: str
+    instance: str
+    host: str
+    port: int
+    pool: str
+    cell: str
+    room: int
+
+
+class Mark(Struct, array_like=True, frozen=True):
+    version: int
+    digest: str
+    size: int
+    source: str
+    number: int
+    index: int
+
+
+class Duty(Struct, array_like=True):
+    holder: Member | None = None
+    fence: int = 0
+    round: int = 1
+    ballots: dict[str, str] = {}
+
+
+class Tick(Struct, array_like=True, frozen=True, tag="tick"):
+    fence: int
+    elapsedMs: int
+
+
+class Reserve(Struct, array_like=True, frozen=True, tag="reserve"):
+    program: str
+    amount: int
+    budget: int
+    keepMs: int
+    pools: tuple[str, ...]
+    candidates: tuple[tuple[str, str], ...]
+    marks: tuple[tuple[str, int], ...]
+
+
+class Settle(Struct, array_like=True, frozen=True, tag="settle"):
+    reservation: int
+    used: int
+    line: Line | None
+
+
+class Release(Struct, array_like=True, frozen=True, tag="release"):
+    reservation: int
+
+
+class ClaimKey(Struct, array_like=True, frozen=True, tag="claim"):
+    key: str
+    digest: str
+    windowMs: int
+
+
+class Finish(Struct, array_like=True, frozen=True, tag="finish"):
+    key: str
+    status: str
+    verdict: bytes
+
+
+class Unclaim(Struct, array_like=True, frozen=True, tag="unclaim"):
+    key: str
+
+
+class Runners(Struct, array_like=True, frozen=True, tag="runners"):
+    fence: int
+    entries: tuple[Runner, ...]
+
+
+class Drain(Struct, array_like=True, frozen=True, tag="drain"):
+    runner: str
+    leaving: bool
+
+
+class SetConfig(Struct, array_like=True, frozen=True, tag="config"):
+    path: str
+    digest: str
+    size: int
+    ifVersion: int
+    source: str
+    number: int
+    bases: tuple[tuple[str, int], ...]
+
+
+class Ballot(Struct, array_like=True, frozen=True, tag="ballot"):
+    duty: str
+    round: int
+    candidate: str
+
+
+Op = (
+    Open | Tick | Reserve | Settle | Release | ClaimKey | Finish | Unclaim | Runners | Drain
+    | SetConfig | Ballot
+)
+
+
+class Done(Struct, array_like=True, frozen=True, tag="done"):
+    index: int
+
+
+class Reserved(Struct, array_like=True, frozen=True, tag="reserved"):
+    index: int
+    runner: Runner
+    amount: int
+    lines: tuple[Line, ...]
+
+
+class Won(Struct, array_like=True, frozen=True, tag="won"):
+    index: int
+
+
+class Shared(Struct, array_like=True, frozen=True, tag="shared"):
+    status: str
+    verdict: bytes
+
+
+class ConfigSet(Struct, array_like=True, frozen=True, tag="configSet"):
+    version: int
+    index: int
+
+
+class BudgetSpent(Struct, array_like=True, frozen=True, tag="BudgetSpent"):
+    budget: int
+    spent: int
+
+
+class TurnOpen(Struct, array_like=True, frozen=True, tag="TurnOpen"):
+    program: str
+
+
+class NoRunner(Struct, array_like=True, frozen=True, tag="NoRunner"):
+    asked: int
+
+
+class StaleConfig(Struct, array_like=True, frozen=True, tag="StaleConfig"):
+    path: str
+    version: int
+
+
+class KeyReused(Struct, array_like=True, frozen=True, tag="KeyReused"):
+    key: str
+
+
+class NotHeld(Struct, array_like=True, frozen=True, tag="NotHeld"):
+    what: str
+
+
+class Fenced(Struct, array_like=True, frozen=True, tag="Fenced"):
+    fence: int
+
+
+Verdict = (
+    Done | Reserved | Won | Shared | ConfigSet | BudgetSpent | TurnOpen | NoRunner | StaleConfig
+    | KeyReused | NotHeld | Fenced
+)
+
+
+class Granary(Struct):
+    index: int = 0
+    clockMs: int = 0
+    members: tuple[Member, ...] = ()
+    cores: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
+    sessions: dict[str, tuple[int, int]] = {}
+    programs: dict[str, Program] = {}
+    reservations: dict[int, Reservation] = {}
+    keys: dict[str, Claim] = {}
+    runners: dict[str, Runner] = {}
+    leaving: dict[str, int] = {}
+    running: dict[str, int] = {}
+    configs: dict[str, Mark] = {}
+    configIndex: int = 0
+    duties: dict[str, Duty] = {}
+    expiries: list[tuple[int, str, str]] = []
--- /dev/null
+++ b/frostpost/harvest/judge.py
@@ -0,0 +1,113 @@
+from hashlib import blake2b
+
+from msgspec import Struct
+
+
+class Status(Struct):
+    instance: str = ""
+    load: float = 0.0
+    room: int = 1
+    prefixes: frozenset[str] = frozenset()
+    leaving: bool = False
+    heardMs: int = -(1 << 40)
+    faultMs: int = -(1 << 40)
+    faults: int = 0
+    inFlight: int = 0
+
+
+class Weights(Struct, frozen=True):
+    prefix: float = 1.0
+    load: float = 1.5
+    cell: float = 0.3
+    jitter: float = 0.2
+    staleMs: int = 5000
+    restMs: int = 1000
+
+
+class Question(Struct, frozen=True):
+    pools: tuple[str, ...]
+    cell: str
+    chain: tuple[str, ...]
+    salt: str
+    nowMs: int
+    tried: frozenset[str] = frozenset()
+
+
+def chainOf(lines):
+    digests, last = [], b""
+    for line in lines:
+        last = blake2b(last + line.input.encode() + b"\0" + line.output.encode(), digest_size=8).digest()
+        digests.append(last.hex())
+    return tuple(digests)
+
+
+def vetoPool(question, runner, status, weights):
+    return runner.pool not in question.pools
+
+
+def vetoTried(question, runner, status, weights):
+    return runner.name in question.tried
+
+
+def vetoLeaving(question, runner, status, weights):
+    return status.leaving
+
+
+def vetoInstance(question, runner, status, weights):
+    return bool(status.instance) and status.instance != runner.instance
+
+
+def vetoFull(question, runner, status, weights):
+    return status.inFlight >= runner.room
+
+
+def vetoResting(question, runner, status, weights):
+    restMs = weights.restMs * min(status.faults, 5)
+    return status.faults > 0 and question.nowMs - status.faultMs < restMs
+
+
+VETOES = (vetoPool, vetoTried, vetoLeaving, vetoInstance, vetoFull, vetoResting)
+
+
+def scorePrefix(question, runner, status, weights):
+    if not question.chain:
+        return 0.0
+    held = 0
+    for digest in question.chain:
+        if digest not in status.prefixes:
+            break
+        held += 1
+    return weights.prefix * held / len(question.chain)
+
+
+def scoreLoad(question, runner, status, weights):
+    fresh = question.nowMs - status.heardMs < weights.staleMs
+    reported = status.load if fresh else 1.0
+    return -weights.load * max(reported, status.inFlight) / max(1, runner.room)
+
+
+def scoreCell(question, runner, status, weights):
+    return weights.cell if runner.cell == question.cell else 0.0
+
+
+def scoreJitter(question, runner, status, weights):
+    spot = blake2b(f"{question.salt}/{runner.name}".encode(), digest_size=2).digest()
+    return weights.jitter * int.from_bytes(spot, "big") / 65535
+
+
+SCORES = (scorePrefix, scoreLoad, scoreCell, scoreJitter)
+
+
+def explain(question, runners, statuses, weights):
+    rows = []
+    for runner in runners:
+        status = statuses.get(runner.name) or Status()
+        vetoes = [v.__name__ for v in VETOES if v(question, runner, status, weights)]
+        scores = {s.__name__: round(s(question, runner, status, weights), 4) for s in SCORES}
+        rows.append((runner, vetoes, scores, sum(scores.values())))
+    return rows
+
+
+def rank(question, runners, statuses, weights):
+    rows = [r for r in explain(question, runners, statuses, weights) if not r[1]]
+    return [row[0] for row in sorted(rows, key=lambda row: (-row[3], row[0].name))]
--- /dev/null
+++ b/frostpost/hedgerow/settling.py
@@ -0,0 +1,216 @@
+from hashlib import blake2b
+
+from msgspec import msgpack
+
+from .state import NOWHERE, Primary, count, majority, names, role, sequencer, write
+from .events import Appended, Applied, Filled, Installed, Open, Snapshot, SnapshotAsked
+from .words import Entry, Fetch, Fill, Ready
+
+encode = msgpack.Encoder().encode
+
+
+def judge(plan):
+    memories = {n: e.memory for n, e in plan.items() if e.memory}
+    if not memories:
+        voters = max((e.voters for e in plan.values()), key=len, default=())
+        able = bool(voters) and all(v in plan for v in voters)
+        return Primary(able=able, donor=min(voters, default=""), voters=voters)
+    donor = max(memories, key=lambda n: (memories[n].primary, memories[n].length, n))
+    best = memories[donor]
+    untouched = best.length <= 1 and all(v in plan for v in best.voters)
+    if majority(best.voters, memories) or untouched:
+        return Primary(able=True, donor=donor, base=best.length, voters=best.voters)
+    return Primary(voters=best.voters)
+
+
+def prepare(hedge, out, plan):
+    primary, log = hedge.primary, hedge.log
+    if not primary.able or not hedge.storage:
+        return
+    best, mine = plan[primary.donor].memory, plan[hedge.name].memory
+    primary.same = bool(best and mine and best.primary == mine.primary)
+    fresh = best is None and log.primary == NOWHERE and hedge.name in primary.voters
+    if fresh or (primary.same and log.length >= primary.base):
+        becomeReady(hedge, out)
+
+
+def becomeReady(hedge, out):
+    primary, log = hedge.primary, hedge.log
+    log.primary, log.base, log.voters = hedge.configuration.id, primary.base, primary.voters
+    del log.entries[max(0, primary.base - log.start):]
+    primary.readyAt = write(hedge, out, Installed(log.primary, log.base, log.voters))
+    later = {**hedge.waiting}
+    later.update({e.index: e for e in hedge.order.held.values() if e.ordinal <= hedge.order.top})
+    while log.length + 1 in later:
+        record(hedge, out, later[log.length + 1])
+    if hedge.order.top:
+        hedge.acksAt.append((hedge.wrote, hedge.order.top))
+    drain(hedge, out)
+
+
+def record(hedge, out, entry):
+    if entry.index == hedge.log.length + 1:
+        hedge.log.entries.append(entry)
+        write(hedge, out, Appended(entry, hedge.log.settled))
+
+
+def relog(hedge, out, entries):
+    log = hedge.log
+    for entry in entries:
+        at = entry.index - log.start - 1
+        if at < 0 or entry.index > log.length + 1:
+            continue
+        if at < len(log.entries) and log.entries[at].configuration == entry.configuration:
+            continue
+        del log.entries[at:]
+        record(hedge, out, entry)
+
+
+def sayReady(hedge, out):
+    out.sends.append((sequencer(hedge), Ready(hedge.configuration.id)))
+
+
+def readied(hedge, out, frm, message):
+    primary, order = hedge.primary, hedge.order
+    if message.id != hedge.configuration.id or not primary.able or hedge.recovery:
+        return
+    if sequencer(hedge) != hedge.name:
+        return
+    primary.readies.add(frm)
+    if not primary.openOrdered and majority(primary.voters, primary.readies):
+        primary.openOrdered = True
+        cores = tuple(n for n in names(hedge.configuration) if role(hedge, n) == "core")
+        payload = encode(Open(hedge.configuration.members, cores, primary.voters))
+        order.unsent.append(
+            Entry(hedge.configuration.id, 1, primary.base + 1, hedge.me, 0, payload))
+        order.next = 2
+
+
+def act(hedge, out, entry):
+    if entry.index > hedge.applied:
+        hedge.waiting[entry.index] = entry
+    drain(hedge, out)
+
+
+def drain(hedge, out):
+    log, primary = hedge.log, hedge.primary
+    if hedge.waiting and hedge.storage and primary.readyAt >= 0:
+        first = min(hedge.waiting)
+        while hedge.applied + 1 < first and log.start <= hedge.applied < log.length:
+            apply(hedge, out, log.entries[hedge.applied - log.start])
+    while hedge.applied + 1 in hedge.waiting:
+        apply(hedge, out, hedge.waiting.pop(hedge.applied + 1))
+
+
+def apply(hedge, out, entry):
+    hedge.applied = entry.index
+    hedge.log.settled = max(hedge.log.settled, min(entry.index, hedge.log.length))
+    out.answers.append(Applied(entry))
+    if entry.sender == hedge.me and entry.number:
+        for number in [n for n in hedge.outbox if n <= entry.number]:
+            del hedge.outbox[number]
+    if entry.ordinal == 1 and entry.configuration == hedge.configuration.id:
+        hedge.primary.opened = True
+        hedge.voters = hedge.primary.voters
+        hedge.order.floor = min(hedge.outbox, default=hedge.number + 1)
+        hedge.submitted = hedge.order.floor - 1
+
+
+def lacking(hedge):
+    primary = hedge.primary
+    if not primary.able:
+        return 0
+    if hedge.storage and primary.readyAt < 0:
+        return hedge.log.length + 1 if primary.same else hedge.log.settled + 1
+    return hedge.applied + 1 if hedge.applied < primary.base else 0
+
+
+def fetch(hedge, out):
+    first = lacking(hedge)
+    if not first or hedge.recovery or hedge.primary.donor == hedge.name:
+        return
+    if hedge.nowMs - hedge.primary.fetchMs < hedge.bounds.resendMs:
+        return
+    hedge.primary.fetchMs = hedge.nowMs
+    ready = sorted(
+        n for n in names(hedge.configuration)
+        if n in hedge.peers and hedge.peers[n].ready
+        and hedge.peers[n].configuration == hedge.configuration.id)
+    if hedge.primary.source not in ready:
+        spot = sum(hedge.name.encode()) % len(ready) if ready else 0
+        hedge.primary.source = ready[spot] if ready else hedge.primary.donor
+        hedge.primary.piece = bytearray()
+    out.sends.append((hedge.primary.source,
+                      Fetch(hedge.configuration.id, first, len(hedge.primary.piece))))
+
+
+def fetched(hedge, out, frm, message):
+    log, primary = hedge.log, hedge.primary
+    if message.id != hedge.configuration.id or primary.readyAt < 0:
+        return
+    if message.first <= log.start or message.offset:
+        out.answers.append(SnapshotAsked(frm, message.id, message.offset))
+        return
+    entries = log.entries[message.first - log.start - 1:primary.base - log.start]
+    out.sends.append((frm, Fill(message.id, tuple(entries[:hedge.bounds.batch]))))
+
+
+def filled(hedge, out, frm, message):
+    primary, log = hedge.primary, hedge.log
+    if message.id != hedge.configuration.id or not lacking(hedge):
+        return
+    count(hedge, "filled", len(message.entries))
+    if hedge.storage:
+        relog(hedge, out, message.entries)
+        reached = log.entries and log.length >= primary.base or log.start >= primary.base
+        if reached and (primary.same or caught(hedge, message)):
+            becomeReady(hedge, out)
+    else:
+        for entry in message.entries:
+            if entry.index > hedge.applied:
+                hedge.waiting[entry.index] = entry
+        drain(hedge, out)
+    primary.fetchMs = -(1 << 40)
+    fetch(hedge, out)
+
+
+def caught(hedge, message):
+    last = message.entries[-1].index if message.entries else hedge.primary.base
+    if last >= hedge.primary.base:
+        return True
+    hedge.primary.same = True
+    del hedge.log.entries[max(0, last - hedge.log.start):]
+    return False
+
+
+def pieced(hedge, out, frm, message):
+    primary = hedge.primary
+    if message.id != hedge.configuration.id or not lacking(hedge):
+        return
+    if message.index != primary.pieceIndex or message.offset == 0:
+        primary.piece, primary.pieceIndex = bytearray(), message.index
+    if message.offset != len(primary.piece):
+        return
+    primary.piece += message.data
+    primary.fetchMs = -(1 << 40)
+    if len(primary.piece) >= message.total:
+        state, primary.piece = bytes(primary.piece), bytearray()
+        if blake2b(state, digest_size=16).hexdigest() == message.digest:
+            refill(hedge, out, message.index, state)
+    fetch(hedge, out)
+
+
+def refill(hedge, out, index, state):
+    log, primary = hedge.log, hedge.primary
+    if index < hedge.applied:
+        return
+    count(hedge, "refilled")
+    hedge.applied = log.settled = index
+    out.answers.append(Filled(index, state))
+    hedge.waiting = {i: e for i, e in hedge.waiting.items() if i > index}
+    if hedge.storage:
+        log.start, log.entries, primary.same = index, [], True
+        write(hedge, out, Snapshot(index, state))
+        if index >= primary.base:
+            becomeReady(hedge, out)
+    drain(hedge, out)
--- /dev/null
+++ b/frostpost/hedgerow/state.py
@@ -0,0 +1,244 @@
+from msgspec import Struct, field
+
+from .events import Appended, Booted, Installed, Out, Snapshot
+from .words import Configuration, ConfigurationId, Entry, Exchange, Member, Memory, Place
+
+RANK = {"storage": 0, "core": 1, "edge": 2}
+NOWHERE = ConfigurationId(0, "", 0)
+
+
+class Bounds(Struct, frozen=True):
+    detectMs: int = 500
+    proposalMs: int = 500
+    leaseMs: int = 1200
+    window: int = 256
+    held: int = 4096
+    batch: int = 256
+    pieceBytes: int = 262144
+    rewriteEntries: int = 4000
+
+    @property
+    def beatMs(self):
+        return self.detectMs // 5
+
+    @property
+    def joinMs(self):
+        return self.detectMs // 2
+
+    @property
+    def resendMs(self):
+        return self.detectMs // 5
+
+
+class Peer(Struct):
+    place: Place
+    heardMs: int = -(1 << 40)
+    hears: frozenset[Member] = frozenset()
+    configuration: ConfigurationId = NOWHERE
+    promised: ConfigurationId = NOWHERE
+    sentMs: int = 0
+    grantedMs: int = -(1 << 40)
+    unwell: bool = False
+    ready: bool = False
+    applied: int = 0
+    leaving: bool = False
+    shunnedMs: int = -(1 << 40)
+    shuns: int = 0
+    news: dict[str, int] = {}
+    past: frozenset[Member] = frozenset()
+
+
+class Log(Struct):
+    primary: ConfigurationId = NOWHERE
+    base: int = 0
+    start: int = 0
+    entries: list[Entry] = []
+    voters: tuple[str, ...] = ()
+    epoch: int = 0
+    boot: int = 0
+    settled: int = 0
+    snapshot: bytes = b""
+
+    @property
+    def length(self):
+        return self.start + len(self.entries)
+
+
+class Proposal(Struct):
+    id: ConfigurationId
+    members: tuple[Member, ...]
+    startedMs: int
+    sentMs: int
+    exchanges: dict[str, Exchange] = {}
+    completes: set[str] = set()
+    planned: bool = False
+
+
+class Recovery(Struct):
+    id: ConfigurationId
+    proposer: str
+    members: tuple[Member, ...]
+    startedMs: int
+    sentMs: int
+    plan: dict[str, Exchange] | None = None
+    group: tuple[Member, ...] = ()
+    wanted: frozenset[int] = frozenset()
+    owed: dict[str, tuple[int, ...]] = {}
+    complete: bool = False
+    syncAt: int = -1
+
+
+class Order(Struct):
+    held: dict[int, Entry] = {}
+    top: int = 0
+    acked: int = 0
+    delivered: int = 0
+    safe: int = 0
+    next: int = 1
+    acks: dict[str, int] = {}
+    sent: dict[str, int] = {}
+    sentMs: dict[str, int] = {}
+    seen: dict[Member, int] = {}
+    unsent: list[Entry] = []
+    fanned: int = 0
+    floor: int = 0
+    early: list[tuple[str, object]] = []
+
+
+class Primary(Struct):
+    able: bool = False
+    donor: str = ""
+    base: int = 0
+    voters: tuple[str, ...] = ()
+    readies: set[str] = set()
+    ready: bool = False
+    readyAt: int = -1
+    same: bool = False
+    opened: bool = False
+    openOrdered: bool = False
+    fetchMs: int = -(1 << 40)
+    piece: bytearray = field(default_factory=bytearray)
+    pieceIndex: int = -1
+    source: str = ""
+
+
+class Hedge(Struct):
+    place: Place
+    bounds: Bounds
+    seeds: tuple[str, ...]
+    voters0: tuple[str, ...]
+    storage: bool
+    log: Log
+    configuration: Configuration
+    promised: ConfigurationId
+    voters: tuple[str, ...] = ()
+    installedMs: int = 0
+    peers: dict[str, Peer] = {}
+    nowMs: int = 0
+    beatMs: int = -(1 << 40)
+    rosterMs: int = -(1 << 40)
+    desired: tuple[Member, ...] = ()
+    desiredMs: int = 0
+    obligations: frozenset[Member] = frozenset()
+    proposal: Proposal | None = None
+    recovery: Recovery | None = None
+    order: Order = field(default_factory=Order)
+    primary: Primary = field(default_factory=Primary)
+    applied: int = 0
+    waiting: dict[int, Entry] = {}
+    outbox: dict[int, bytes] = {}
+    outboxMs: int = 0
+    submitted: int = 0
+    number: int = 0
+    wrote: int = 0
+    synced: int = 0
+    acksAt: list[tuple[int, int]] = []
+    replays: list[tuple[str, object]] = []
+    unwell: bool = False
+    leaving: bool = False
+    counts: dict[str, int] = {}
+    news: dict[str, int] = {}
+
+    @property
+    def me(self):
+        return self.place.member
+
+    @property
+    def name(self):
+        return self.place.member.name
+
+
+def count(hedge, what, by=1):
+    hedge.counts[what] = hedge.counts.get(what, 0) + by
+
+
+def write(hedge, out, record):
+    if hedge.storage:
+        out.writes.append(record)
+        hedge.wrote += 1
+    return hedge.wrote
+
+
+def names(configuration):
+    return [m.name for m in configuration.members]
+
+
+def role(hedge, name):
+    if name == hedge.name:
+        return hedge.place.role
+    peer = hedge.peers.get(name)
+    return peer.place.role if peer else "edge"
+
+
+def sequencer(hedge, configuration=None):
+    members = names(configuration or hedge.configuration)
+    cores = sorted(n for n in members if role(hedge, n) == "core")
+    return cores[0] if cores else sorted(members)[0]
+
+
+def majority(voters, present):
+    return len(voters) > 0 and sum(v in present for v in voters) * 2 > len(voters)
+
+
+def begin(place, bounds, seeds, voters, log, nowMs):
+    storage = place.role == "storage"
+    single = ConfigurationId(log.epoch + 1, place.member.name, place.member.boot)
+    hedge = Hedge(
+        place=place, bounds=bounds, seeds=tuple(seeds), voters0=tuple(voters), storage=storage,
+        log=log, configuration=Configuration(single, (place.member,)), promised=single,
+        nowMs=nowMs, installedMs=nowMs, applied=log.settled,
+    )
+    out = Out()
+    write(hedge, out, Booted(place.member.boot, single.epoch))
+    return hedge, out
+
+
+def replay(records):
+    log = Log()
+    for record in records:
+        replayOne(log, record)
+    return log
+
+
+def replayOne(log, record):
+    match record:
+        case Booted(boot, epoch):
+            log.boot, log.epoch = max(log.boot, boot), max(log.epoch, epoch)
+        case Snapshot(index, state):
+            log.start, log.entries, log.snapshot = index, [], state
+            log.settled = max(log.settled, index)
+        case Installed(id, base, voters):
+            log.primary, log.base, log.voters = id, base, voters
+            log.epoch = max(log.epoch, id.epoch)
+            del log.entries[max(0, base - log.start):]
+        case Appended(entry, settled):
+            del log.entries[max(0, entry.index - log.start - 1):]
+            if entry.index == log.length + 1:
+                log.entries.append(entry)
+            log.settled = max(log.settled, min(settled, log.length))
+
+
+def memory(log):
+    if log.primary == NOWHERE:
+        return None
+    return Memory(log.primary, log.length, log.voters)
--- /dev/null
+++ b/frostpost/orchard/heart.py
@@ -0,0 +1,124 @@
+from expression import Error, Ok
+from msgspec import Struct, msgpack
+from twisted.internet.defer import Deferred
+
+from frostpost.gate.faults import NoPrimary, Overfilled, Undecided
+from frostpost.granary.words import Finish, Release, Reserved, Settle, Unclaim, Won
+from frostpost.hedgerow.events import (
+    Applied, Asked, Changed, Filled, Numbered, Overfull, Received, Tick,
+)
+from frostpost.hedgerow.words import Beat, BodyAsk, BodyPiece, NewsAsk, NewsTell
+from . import core as cores
+from .context import count, nowMs
+from .news import say
+
+encode = msgpack.Encoder().encode
+
+
+class Waiter(Struct):
+    op: object
+    answer: Deferred | None
+    timer: object = None
+
+
+def feed(ctx, input):
+    ctx.inputs.append(input)
+    if ctx.stepping:
+        return
+    ctx.stepping = True
+    try:
+        while ctx.inputs:
+            ctx.core, out = cores.step(ctx.core, ctx.inputs.popleft())
+            if out.writes:
+                ctx.disk.write(out.writes)
+            for to, body in out.sends:
+                ctx.links["send"](to, body)
+            for answer in out.answers:
+                answered(ctx, answer)
+    finally:
+        ctx.stepping = False
+
+
+def answered(ctx, answer):
+    match answer:
+        case cores.Decided(number, verdict):
+            decided(ctx, number, verdict)
+        case Numbered(number):
+            if ctx.asking:
+                waiter = ctx.asking.popleft()
+                ctx.waiters[number] = waiter
+        case Overfull():
+            if ctx.asking:
+                fire(ctx.asking.popleft(), Error(Overfilled()))
+        case Applied(entry):
+            if entry.ordinal == 1:
+                ctx.needConfig = ctx.core.granary.configIndex
+            ctx.links["applied"]()
+        case Filled():
+            ctx.needConfig = ctx.core.granary.configIndex
+            ctx.links["applied"]()
+        case Changed(configuration, transitional):
+            say("configuration", id=list(configuration.id.__struct_fields__ and (
+                configuration.id.epoch, configuration.id.proposer)),
+                members=[m.name for m in configuration.members], transitional=transitional)
+
+
+def fire(waiter, result):
+    answer, waiter.answer = waiter.answer, None
+    if waiter.timer is not None and waiter.timer.active():
+        waiter.timer.cancel()
+    if answer is not None:
+        answer.callback(result)
+        return True
+    return False
+
+
+def decided(ctx, number, verdict):
+    waiter = ctx.waiters.pop(number, None)
+    if waiter is None:
+        return
+    result = Error(Undecided()) if verdict is None else Ok(verdict)
+    if not fire(waiter, result):
+        undo(ctx, waiter.op, verdict)
+
+
+def undo(ctx, op, verdict):
+    count(ctx, "lateVerdicts")
+    if isinstance(verdict, Reserved):
+        tell(ctx, Release(verdict.index))
+    elif isinstance(verdict, Won):
+        tell(ctx, Unclaim(op.key))
+
+
+def tell(ctx, op):
+    ctx.asking.append(Waiter(op, None))
+    feed(ctx, Asked(nowMs(), encode(op)))
+
+
+def ask(ctx, op, waitMs):
+    must = isinstance(op, (Settle, Release, Finish, Unclaim))
+    answer = Deferred()
+    if not must and not cores.leaseOk(ctx.core, nowMs()):
+        answer.callback(Error(NoPrimary()))
+        return answer
+    waiter = Waiter(op, answer)
+    waiter.timer = ctx.reactor.callLater(
+        max(0.001, waitMs / 1000), lambda: fire(waiter, Error(Undecided())))
+    ctx.asking.append(waiter)
+    feed(ctx, Asked(nowMs(), encode(op)))
+    return answer
+
+
+def received(ctx, frame):
+    body, frm = frame.body, frame.place.member.name
+    match body:
+        case BodyAsk() | BodyPiece() | NewsAsk() | NewsTell():
+            ctx.links["news"](frm, body)
+        case _:
+            feed(ctx, Received(nowMs(), frame.place, body))
+            if isinstance(body, Beat):
+                ctx.links["heard"](frm, body.news)
+
+
+def tick(ctx):
+    feed(ctx, Tick(nowMs()))
--- /dev/null
+++ b/frostpost/orchard/links.py
@@ -0,0 +1,150 @@
+from collections import deque
+
+from msgspec import DecodeError, msgpack
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import Int32StringReceiver
+
+from frostpost.hedgerow.words import BodyPiece, Frame, Piece, VERSION
+from .context import count
+from .heart import received
+from .news import say
+
+encode = msgpack.Encoder().encode
+decode = msgpack.Decoder(Frame).decode
+MOST = 64 << 20
+QUEUED = 8 << 20
+
+
+class Ear(Int32StringReceiver):
+    MAX_LENGTH = MOST
+
+    def stringReceived(self, data):
+        ctx = self.factory.ctx
+        try:
+            frame = decode(data)
+        except DecodeError:
+            count(ctx, "unreadFrames")
+            self.transport.loseConnection()
+            return
+        if frame.version != VERSION:
+            count(ctx, "otherVersions")
+            say("OtherVersion", frm=frame.place.member.name, version=frame.version)
+            self.transport.loseConnection()
+            return
+        if frame.to not in ("", ctx.place.member.name) or barred(ctx, frame.place.member.name):
+            count(ctx, "misdirected")
+            return
+        received(ctx, frame)
+
+
+class Mouth(Int32StringReceiver):
+    MAX_LENGTH = MOST
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.link.mouth, self.link.paused = self, False
+        self.link.drain()
+
+    def pauseProducing(self):
+        self.link.paused = True
+
+    def resumeProducing(self):
+        self.link.paused = False
+        self.link.drain()
+
+    def stopProducing(self):
+        self.link.paused = True
+
+    def connectionLost(self, reason=connectionDone):
+        self.link.lost()
+
+
+class Link:
+    __slots__ = ("ctx", "host", "port", "mouth", "paused", "queue", "bytes", "connecting", "restMs")
+
+    def __init__(self, ctx, host, port):
+        self.ctx, self.host, self.port = ctx, host, port
+        self.mouth, self.paused, self.connecting = None, True, False
+        self.queue, self.bytes = deque(), 0
+
+    def send(self, data):
+        if self.bytes + len(data) > QUEUED:
+            count(self.ctx, "linkFull")
+            return
+        self.queue.append(data)
+        self.bytes += len(data)
+        if self.mouth is None:
+            self.connect()
+        elif not self.paused:
+            self.drain()
+
+    def drain(self):
+        while self.queue and self.mouth is not None and not self.paused:
+            data = self.queue.popleft()
+            self.bytes -= len(data)
+            self.mouth.sendString(data)
+
+    def connect(self):
+        if self.connecting:
+            return
+        self.connecting = True
+        factory = Factory()
+
+        def build(_):
+            mouth = Mouth()
+            mouth.link = self
+            return mouth
+        factory.buildProtocol = build
+        endpoint = TCP4ClientEndpoint(self.ctx.reactor, self.host, self.port, timeout=1)
+        endpoint.connect(factory).addCallbacks(self.connected, self.failed)
+
+    def connected(self, _):
+        self.connecting = False
+
+    def failed(self, _):
+        self.lost()
+        self.connecting = True
+        self.ctx.reactor.callLater(0.2, self.rested)
+
+    def rested(self):
+        self.connecting = False
+
+    def lost(self):
+        self.mouth, self.paused, self.connecting = None, True, False
+        self.queue.clear()
+        self.bytes = 0
+
+
+def barred(ctx, name):
+    return name in ctx.hook.get("cut", ())
+
+
+def listen(ctx):
+    factory = Factory.forProtocol(Ear)
+    factory.ctx = ctx
+    settings = ctx.settings
+    return TCP4ServerEndpoint(
+        ctx.reactor, settings.port, interface=settings.host).listen(factory)
+
+
+def sender(ctx):
+    links = {}
+
+    def send(to, body):
+        if to.startswith("@"):
+            host, _, port = to[1:].rpartition(":")
+            name = ""
+        else:
+            peer = ctx.core.hedge.peers.get(to)
+            if peer is None or barred(ctx, to):
+                return
+            host, port, name = peer.place.host, peer.place.port, to
+        bulk = isinstance(body, (Piece, BodyPiece))
+        key = (host, int(port), bulk)
+        link = links.get(key)
+        if link is None:
+            link = links[key] = Link(ctx, host, int(port))
+        link.send(encode(Frame(VERSION, ctx.place, name, body)))
+    return send
--- /dev/null
+++ b/frostpost/orchard/settings.py
@@ -0,0 +1,99 @@
+import tomllib
+
+from expression import Error, Ok
+from msgspec import Struct, ValidationError, convert, field, structs
+
+from frostpost.harvest.judge import Weights
+from frostpost.hedgerow.state import Bounds
+
+
+class SettingsInvalid(Struct, frozen=True, tag="SettingsInvalid"):
+    path: str
+    text: str
+
+
+class Tending(Struct, frozen=True, forbid_unknown_fields=True):
+    loadMs: int = 500
+    listMs: int = 1000
+    tickMs: int = 1000
+
+
+class Doors(Struct, frozen=True, forbid_unknown_fields=True):
+    inFlight: int = 400
+    askMs: int = 1500
+    connectMs: int = 500
+    stallMs: int = 5000
+    bodyBytes: int = 1 << 20
+    configBytes: int = 64 << 20
+    ackMs: int = 8000
+    graceMs: int = 30000
+    retryRatio: float = 0.2
+
+
+class Settings(Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    role: str
+    cell: str
+    host: str
+    port: int
+    httpPort: int
+    seeds: list[str]
+    voters: list[str]
+    data: str = ""
+    list: str = ""
+    hooks: str = ""
+    bounds: Bounds = field(default_factory=Bounds)
+    tending: Tending = field(default_factory=Tending)
+    doors: Doors = field(default_factory=Doors)
+    weights: Weights = field(default_factory=Weights)
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    numeric = len(parts) == 4 and all(p.isdigit() and int(p) < 256 for p in parts)
+    return numeric and port.isdigit() and 0 < int(port) < 65536
+
+
+def faultsOf(settings):
+    if settings.role not in ("edge", "core", "storage"):
+        yield SettingsInvalid("role", "must be edge, core or storage")
+    if settings.role == "storage" and not settings.data:
+        yield SettingsInvalid("data", "a storage daemon needs a data folder")
+    if not address(f"{settings.host}:{settings.port or 1}"):
+        yield SettingsInvalid("host", f"{settings.host} is no IP number")
+    for n, seed in enumerate(settings.seeds):
+        if not address(seed):
+            yield SettingsInvalid(f"seeds[{n}]", f"{seed} is no IP number and port")
+    if not settings.seeds:
+        yield SettingsInvalid("seeds", "at least one seed is needed")
+    if not settings.voters:
+        yield SettingsInvalid("voters", "at least one voter is needed")
+    bounds = settings.bounds
+    if bounds.leaseMs + bounds.detectMs >= 2000:
+        yield SettingsInvalid("bounds.leaseMs", "leaseMs and detectMs together must be under 2000")
+    for name in structs.asdict(bounds):
+        if getattr(bounds, name) <= 0:
+            yield SettingsInvalid(f"bounds.{name}", "must be above 0")
+
+
+def read(path, flags):
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except OSError as fault:
+        return Error(SettingsInvalid(path, fault.strerror or "cannot be read"))
+    except tomllib.TOMLDecodeError as fault:
+        return Error(SettingsInvalid(path, str(fault)))
+    document.update({k: v for k, v in flags.items() if v is not None})
+    unknown = set(document.get("bounds", {})) - set(Bounds.__struct_fields__)
+    unknown |= set(document.get("weights", {})) - set(Weights.__struct_fields__)
+    if unknown:
+        return Error(SettingsInvalid(sorted(unknown)[0], "is no known setting"))
+    try:
+        settings = convert(document, Settings)
+    except ValidationError as fault:
+        text, _, where = str(fault).partition(" - at ")
+        return Error(SettingsInvalid(where.strip("`") or path, text))
+    fault = next(faultsOf(settings), None)
+    return Error(fault) if fault else Ok(settings)
--- /dev/null
+++ b/frostpost/scarecrow/backs.py
@@ -0,0 +1,63 @@
+import sys
+from typing import Annotated
+
+import cappa
+from msgspec import Struct, json
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ServerEndpoint
+
+from . import platform as platforms
+from .notes import Notes
+from .runner import Runner, build
+
+POOLS = {
+    "hlidar": (("hmodel", 9, 24), ("hlookup", 3, 64)),
+    "tamar": (("tmodel", 5, 24), ("tlookup", 3, 64)),
+}
+
+
+def rowOf(runner, port):
+    return {"name": runner.name, "instance": runner.instance, "host": "127.0.0.1", "port": port,
+            "pool": runner.pool, "cell": runner.cell, "room": runner.room}
+
+
+def raise_(seed, notes, ready):
+    platform, rows, pending = platforms.Platform(lagS=0.2), [], []
+
+    def listening(port, runner):
+        rows.append(rowOf(runner, port.getHost().port))
+    number = 0
+    for deployment, pools in POOLS.items():
+        for pool, many, room in pools:
+            for n in range(many):
+                number += 1
+                runner = Runner(f"{pool}{n + 1}", f"i{number}", pool, "abc"[n % 3], room, seed + number)
+                endpoint = TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1", backlog=512)
+                pending.append(endpoint.listen(build(reactor, runner, notes)).addCallback(listening, runner))
+    endpoint = TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1")
+
+    def up(port):
+        platforms.show(platform, sorted(rows, key=lambda r: r["name"]))
+        ready(port.getHost().port, rows)
+    endpoint.listen(platforms.build(platform)).addCallback(up)
+
+
+@cappa.command(name="backs", help="Stand-in runners and the platform's runner list, in one process.")
+class Backs(Struct, kw_only=True):
+    notes: Annotated[str, cappa.Arg(help="file that the runners' notes go to")]
+    seed: Annotated[int, cappa.Arg(long=True, help="seed of the stand-ins")] = 1
+
+
+def main():
+    command = cappa.parse(Backs)
+
+    def ready(port, rows):
+        sys.stdout.buffer.write(json.encode({"list": port, "runners": rows}) + b"\n")
+        sys.stdout.flush()
+    raise_(command.seed, Notes(command.notes), ready)
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/frostpost/scarecrow/callers.py
@@ -0,0 +1,154 @@
+import sys
+from random import Random
+from typing import Annotated
+
+import cappa
+from msgspec import DecodeError, Struct, json
+from treq.client import HTTPClient
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.protocol import Protocol
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+
+from .notes import Notes
+from .templates import DEPLOYMENTS
+
+
+class Reading(Protocol):
+    def __init__(self):
+        self.data, self.done, self.times = bytearray(), Deferred(), []
+
+    def dataReceived(self, data):
+        self.data += data
+
+    def connectionLost(self, reason):
+        self.done.callback(bool(reason.check(ResponseDone)))
+
+
+class Crowd:
+    __slots__ = ("client", "doors", "random", "notes", "serial", "open", "tag", "most")
+
+    def __init__(self, doors, seed, notes, tag="p", most=600):
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost, pool.retryAutomatically = 40, False
+        self.client = HTTPClient(Agent(reactor, connectTimeout=1, pool=pool))
+        self.doors, self.random, self.notes = doors, Random(seed), notes
+        self.serial, self.open, self.tag, self.most = 0, 0, tag, most
+
+
+def sleep(waitS):
+    done = Deferred()
+    reactor.callLater(waitS, done.callback, None)
+    return done
+
+
+@inlineCallbacks
+def post(crowd, path, document):
+    crowd.serial += 1
+    request = f"{crowd.tag}{crowd.serial}"
+    door = crowd.random.choice(crowd.doors)
+    startS = reactor.seconds()
+    crowd.notes.say("asked", request=request, path=path, document=document, door=door)
+    status, whole, raw, retry = 0, False, b"", None
+    try:
+        response = yield crowd.client.post(
+            f"http://{door}{path}", json.encode(document),
+            headers={"x-request": [request], "content-type": ["application/json"]}, unbuffered=True)
+        status = response.code
+        retry = (response.headers.getRawHeaders("retry-after") or [None])[0]
+        reading = Reading()
+        response.deliverBody(reading)
+        whole = yield reading.done
+        raw = bytes(reading.data)
+    except Exception as fault:
+        raw = json.encode({"fault": {"type": f"Link{type(fault).__name__}"}})
+    lines = []
+    for line in raw.split(b"\n"):
+        try:
+            lines.append(json.decode(line)) if line else None
+        except DecodeError:
+            whole = False
+    tookMs = round((reactor.seconds() - startS) * 1000, 1)
+    crowd.notes.say("answered", request=request, status=status, whole=whole, lines=lines,
+                    retryAfter=retry, tookMs=tookMs)
+    return status, whole, lines, retry
+
+
+@inlineCallbacks
+def insist(crowd, path, document, gos=4):
+    for _ in range(gos):
+        status, whole, lines, retry = yield post(crowd, path, document)
+        if status not in (409, 429, 503) or retry is None:
+            break
+        yield sleep(float(retry) * (0.5 + crowd.random.random()))
+    return status, whole, lines
+
+
+@inlineCallbacks
+def program(crowd, tenant, lane, lookups):
+    if crowd.open >= crowd.most:
+        crowd.notes.say("withheld", tenant=tenant, lane=lane)
+        return
+    crowd.open += 1
+    try:
+        crowd.serial += 1
+        name = f"{crowd.tag}-{lane}-{crowd.serial}"
+        for turn in range(1 + crowd.random.randrange(3)):
+            yield insist(crowd, f"/v1/tenants/{tenant}/lanes/{lane}/turns",
+                         {"program": name, "input": f"{name} turn {turn} of the shared prompt"})
+            kind = crowd.random.choice(lookups)
+            document = {"input": f"{name}/{turn}"}
+            if kind in ("claims", "notices"):
+                document["key"] = f"{name}/{turn}"
+                again = post(crowd, f"/v1/tenants/{tenant}/lanes/{kind}/lookups", document)
+                yield insist(crowd, f"/v1/tenants/{tenant}/lanes/{kind}/lookups", document)
+                yield again
+            else:
+                yield insist(crowd, f"/v1/tenants/{tenant}/lanes/{kind}/lookups", document)
+    finally:
+        crowd.open -= 1
+
+
+def arrivals(crowd, seconds, factor, done):
+    endS = reactor.seconds() + seconds
+    running = []
+
+    def arrive(tenant, lane, rate, lookups):
+        if reactor.seconds() >= endS:
+            return
+        running.append(program(crowd, tenant, lane, lookups))
+        reactor.callLater(crowd.random.expovariate(rate * factor), arrive, tenant, lane, rate, lookups)
+    for tenant, shape in DEPLOYMENTS.items():
+        for lane, rate in shape.items():
+            if lane != "lookups":
+                arrive(tenant, lane, rate, shape["lookups"])
+
+    def check():
+        if reactor.seconds() >= endS and (crowd.open == 0 or reactor.seconds() > endS + 40):
+            crowd.notes.say("over", stillOpen=crowd.open)
+            done()
+        else:
+            reactor.callLater(0.1, check)
+    check()
+
+
+@cappa.command(name="callers", help="Stand-in callers of both deployments, at the brief's rates.")
+class Callers(Struct, kw_only=True):
+    notes: Annotated[str, cappa.Arg(help="file that the callers' notes go to")]
+    doors: Annotated[list[str], cappa.Arg(long="--door", help="IP:port of an edge daemon; may be given again")]
+    seconds: Annotated[float, cappa.Arg(long=True, help="how long programs arrive")] = 10.0
+    factor: Annotated[float, cappa.Arg(long=True, help="times the brief's rates")] = 1.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    tag: Annotated[str, cappa.Arg(long=True, help="start of every request id")] = "p"
+
+
+def main():
+    command = cappa.parse(Callers)
+    crowd = Crowd(command.doors, command.seed, Notes(command.notes), command.tag)
+    reactor.callWhenRunning(arrivals, crowd, command.seconds, command.factor, reactor.stop)
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/frostpost/scarecrow/fleet.py
@@ -0,0 +1,170 @@
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from msgspec import Struct, json
+
+from .templates import TEMPLATES, TENANTS
+
+SIZES = {"full": (8, 3, 5), "quick": (2, 3, 2)}
+
+
+class Daemon(Struct):
+    name: str
+    role: str
+    cell: str
+    port: int
+    httpPort: int
+    path: str
+    process: object = None
+    starts: int = 0
+
+
+class Fleet(Struct):
+    folder: str
+    daemons: dict[str, Daemon] = {}
+    backs: object = None
+    listPort: int = 0
+    runners: list[dict] = []
+    python: str = sys.executable
+    seeds: list[str] = []
+
+
+def ports(many):
+    socks = []
+    for _ in range(many):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        socks.append(sock)
+    found = [s.getsockname()[1] for s in socks]
+    for sock in socks:
+        sock.close()
+    return found
+
+
+def lay(folder, size="quick", bounds=None):
+    os.makedirs(folder, exist_ok=True)
+    fleet = Fleet(os.path.abspath(folder))
+    edges, storages, cores = SIZES[size] if isinstance(size, str) else size
+    plan = [("storage", "s", storages), ("core", "c", cores), ("edge", "e", edges)]
+    free = iter(ports(2 * (edges + storages + cores)))
+    for role, letter, many in plan:
+        for n in range(many):
+            name = f"{letter}{n + 1}"
+            fleet.daemons[name] = Daemon(
+                name, role, "abc"[n % 3], next(free), next(free), os.path.join(fleet.folder, f"{name}.toml"))
+    cores_ = [d for d in fleet.daemons.values() if d.role != "edge"]
+    fleet.seeds = [f"127.0.0.1:{d.port}" for d in cores_[:3]]
+    return fleet
+
+
+def settingsOf(fleet, daemon, extra=""):
+    voters = [d.name for d in fleet.daemons.values() if d.role == "storage"]
+    data = f'data = "{fleet.folder}/{daemon.name}.data"\n' if daemon.role == "storage" else ""
+    return (
+        f'name = "{daemon.name}"\nrole = "{daemon.role}"\ncell = "{daemon.cell}"\n'
+        f'host = "127.0.0.1"\nport = {daemon.port}\nhttpPort = {daemon.httpPort}\n'
+        f'seeds = {json.encode(fleet.seeds).decode()}\nvoters = {json.encode(voters).decode()}\n{data}'
+        f'list = "http://127.0.0.1:{fleet.listPort}/runners"\nhooks = "{fleet.folder}/{daemon.name}.hooks"\n{extra}')
+
+
+def raiseBacks(fleet, seed=1):
+    fleet.backs = subprocess.Popen(
+        [fleet.python, "-m", "frostpost.scarecrow.backs", f"{fleet.folder}/runners.notes", "--seed", str(seed)],
+        stdout=subprocess.PIPE)
+    said = json.decode(fleet.backs.stdout.readline())
+    fleet.listPort, fleet.runners = said["list"], said["runners"]
+
+
+def start(fleet, name, extra=""):
+    daemon = fleet.daemons[name]
+    with open(daemon.path, "w") as file:
+        file.write(settingsOf(fleet, daemon, extra))
+    daemon.starts += 1
+    log = open(f"{fleet.folder}/{name}.log", "ab")
+    daemon.process = subprocess.Popen(
+        [fleet.python, "-m", "frostpost.orchard.main", daemon.path], stdout=log, stderr=log)
+    log.close()
+
+
+def call(fleet, name, path, method="GET", document=None, timeout=15, headers=None):
+    daemon = fleet.daemons[name]
+    data = document if isinstance(document, bytes) else (
+        json.encode(document) if document is not None else None)
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{daemon.httpPort}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            raw = response.read()
+            return response.status, json.decode(raw) if raw[:1] in b"{[" else raw
+    except urllib.error.HTTPError as fault:
+        raw = fault.read()
+        return fault.code, json.decode(raw) if raw[:1] in b"{[" else raw
+    except (OSError, TimeoutError) as fault:
+        return 0, {"fault": {"type": type(fault).__name__}}
+
+
+def waitFor(test, limitS, everyS=0.05):
+    endS = time.monotonic() + limitS
+    while time.monotonic() < endS:
+        if test():
+            return True
+        time.sleep(everyS)
+    return False
+
+
+def ready(fleet, names=None):
+    return all(call(fleet, n, "/v1/ready", timeout=2)[0] == 200 for n in names or fleet.daemons)
+
+
+def raise_(fleet, seed=1, waitS=60):
+    raiseBacks(fleet, seed)
+    for name in fleet.daemons:
+        start(fleet, name)
+    return waitFor(lambda: ready(fleet), waitS)
+
+
+def stampAll(fleet, door=None):
+    door = door or next(n for n, d in fleet.daemons.items() if d.role == "edge")
+    said = []
+    for name, template in TEMPLATES.items():
+        said.append(call(fleet, door, f"/v1/config/templates/{name}", "PUT", template))
+    for name, tenant in TENANTS.items():
+        said.append(call(fleet, door, f"/v1/config/tenants/{name}", "PUT", tenant))
+    return said
+
+
+def load(fleet, seconds, factor=1.0, seed=1, tag="p", doors=None):
+    edges = doors or [n for n, d in fleet.daemons.items() if d.role == "edge"]
+    words = [w for n in edges for w in ("--door", f"127.0.0.1:{fleet.daemons[n].httpPort}")]
+    return subprocess.Popen(
+        [fleet.python, "-m", "frostpost.scarecrow.callers", f"{fleet.folder}/callers.notes", *words,
+         "--seconds", str(seconds), "--factor", str(factor), "--seed", str(seed), "--tag", tag])
+
+
+def send(fleet, name, signal_):
+    daemon = fleet.daemons[name]
+    if daemon.process and daemon.process.poll() is None:
+        os.kill(daemon.process.pid, signal_)
+
+
+def kill(fleet, name):
+    send(fleet, name, signal.SIGKILL)
+    fleet.daemons[name].process.wait()
+
+
+def end(fleet):
+    for daemon in fleet.daemons.values():
+        if daemon.process and daemon.process.poll() is None:
+            daemon.process.send_signal(signal.SIGCONT)
+            daemon.process.kill()
+            daemon.process.wait()
+    if fleet.backs:
+        fleet.backs.kill()
+        fleet.backs.wait()
+        fleet.backs.stdout.close()
--- /dev/null
+++ b/frostpost/scarecrow/notes.py
@@ -0,0 +1,27 @@
+from time import monotonic
+
+from msgspec import json
+
+
+class Notes:
+    __slots__ = ("file", "lines")
+
+    def __init__(self, path=None):
+        self.file = open(path, "ab", buffering=0) if path else None
+        self.lines = []
+
+    def say(self, kind, **facts):
+        note = {"kind": kind, "atMs": int(monotonic() * 1000), **facts}
+        if self.file is not None:
+            self.file.write(json.encode(note) + b"\n")
+        else:
+            self.lines.append(note)
+
+
+def read(path):
+    notes = []
+    with open(path, "rb") as file:
+        for raw in file:
+            if raw.endswith(b"\n"):
+                notes.append(json.decode(raw))
+    return notes
--- /dev/null
+++ b/frostpost/tending/listing.py
@@ -0,0 +1,64 @@
+from msgspec import Struct, json
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.granary import duties
+from frostpost.granary.words import Runner, Runners, Tick
+from frostpost.orchard.context import count, nowMs
+from frostpost.orchard.core import leaseOk
+from frostpost.orchard.heart import ask
+from frostpost.orchard.news import say
+
+
+class Row(Struct):
+    name: str
+    instance: str
+    host: str
+    port: int
+    pool: str
+    cell: str
+    room: int
+
+
+class Page(Struct):
+    runners: list[Row]
+
+
+@inlineCallbacks
+def list_(ctx):
+    fence = duties.held(ctx.core.granary, "list", ctx.place.member)
+    now = nowMs()
+    if not fence or not ctx.settings.list or now < ctx.listMs or not leaseOk(ctx.core, now):
+        return
+    ctx.listMs = now + ctx.settings.tending.listMs
+    try:
+        response = yield ctx.agent.get(ctx.settings.list, timeout=2)
+        raw = yield response.content()
+        if response.code == 429:
+            said = (response.headers.getRawHeaders("retry-after") or ["1"])[0]
+            waitMs = int(said) * 1000 if said.isdigit() else 1000
+            ctx.listMs = nowMs() + waitMs
+            count(ctx, "listTurnedAway")
+            return
+        page = json.decode(raw, type=Page)
+    except Exception as fault:
+        count(ctx, f"listFault/{type(fault).__name__}")
+        return
+    entries = tuple(sorted(
+        (Runner(r.name, r.instance, r.host, r.port, r.pool, r.cell, r.room) for r in page.runners),
+        key=lambda r: r.name))
+    held = ctx.core.granary.runners
+    if {r.name: r for r in entries} != held:
+        count(ctx, "listChanges")
+        say("RunnerList", runners=len(entries))
+        yield ask(ctx, Runners(fence, entries), ctx.settings.doors.askMs)
+
+
+def tickLedger(ctx):
+    fence = duties.held(ctx.core.granary, "ticks", ctx.place.member)
+    now = nowMs()
+    if not fence or not leaseOk(ctx.core, now):
+        ctx.tickMs = 0
+        return
+    lastMs, ctx.tickMs = ctx.tickMs, now
+    if lastMs:
+        ask(ctx, Tick(fence, min(now - lastMs, 3 * ctx.settings.tending.tickMs)), ctx.settings.doors.askMs)
--- /dev/null
+++ b/frostpost/trellis/shapes.py
@@ -0,0 +1,80 @@
+import re
+
+from cerberus import Validator
+from expression import Error, Ok
+from msgspec import Struct
+
+WORD = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")
+PARAM = {"type": "dict", "schema": {"$param": {"type": "string", "required": True, "regex": WORD.pattern}}}
+
+
+class Fault(Struct, frozen=True):
+    path: str
+    text: str
+
+
+class ConfigInvalid(Struct, frozen=True, tag="ConfigInvalid"):
+    faults: tuple[Fault, ...]
+
+
+def either(rule):
+    return {"anyof": [rule, PARAM]}
+
+
+def whole(low, high):
+    return {"type": "integer", "min": low, "max": high}
+
+
+LANE = {
+    "kind": {"type": "string", "allowed": ["turn", "lookup"], "required": True},
+    "pools": {"type": "list", "minlength": 1, "required": True,
+              "schema": {"type": "string", "regex": WORD.pattern}},
+    "repeat": either({"type": "string", "allowed": ["free", "once", "keyed"]}),
+    "urgency": either({"type": "string", "allowed": ["urgent", "normal", "batch"]}),
+    "limitMs": either(whole(1, 600000)),
+    "keepMs": either(whole(1000, 2592000000)),
+    "budget": either(whole(1, 1000000000)),
+    "maxOutput": either(whole(1, 100000)),
+    "keyWindowMs": either(whole(60000, 3600000)),
+}
+TEMPLATE = {
+    "parameters": {"type": "dict", "keysrules": {"type": "string", "regex": WORD.pattern},
+                   "valuesrules": {"type": "dict", "schema": {
+                       "default": {"required": True, "type": ["integer", "string"]},
+                       "allowed": {"type": "list"},
+                       "min": {"type": "integer"}, "max": {"type": "integer"}}}},
+    "lanes": {"type": "dict", "required": True, "minlength": 1,
+              "keysrules": {"type": "string", "regex": WORD.pattern},
+              "valuesrules": {"type": "dict", "schema": LANE}},
+    "notes": {"type": "dict"},
+}
+TENANT = {
+    "template": {"type": "string", "required": True, "regex": WORD.pattern},
+    "parameters": {"type": "dict", "keysrules": {"type": "string", "regex": WORD.pattern},
+                   "valuesrules": {"type": ["integer", "string"]}},
+    "notes": {"type": "dict"},
+}
+SHAPES = {"templates": TEMPLATE, "tenants": TENANT}
+DEFAULTS = {
+    "repeat": "once", "urgency": "normal", "limitMs": 30000, "keepMs": 3600000,
+    "budget": 10000, "maxOutput": 256, "keyWindowMs": 60000,
+}
+
+
+def flatten(errors, path):
+    for key, said in errors.items():
+        here = f"{path}/{key}"
+        for one in said:
+            if isinstance(one, dict):
+                yield from flatten(one, here)
+            else:
+                yield Fault(here, str(one))
+
+
+def check(kind, document):
+    if not isinstance(document, dict):
+        return Error(ConfigInvalid((Fault("/", "must be an object"),)))
+    validator = Validator(SHAPES[kind], require_all=False, allow_unknown=False)
+    if validator.validate(document):
+        return Ok(document)
+    return Error(ConfigInvalid(tuple(flatten(validator.errors, ""))))
--- /dev/null
+++ b/frostpost/trellis/shelf.py
@@ -0,0 +1,132 @@
+from hashlib import blake2b
+
+from msgspec import Struct
+
+from frostpost.hedgerow.words import BodyAsk, BodyPiece, NewsAsk, NewsTell
+
+
+class Item(Struct, frozen=True, array_like=True):
+    source: str
+    number: int
+    digest: str
+    size: int
+
+
+class Pull(Struct):
+    item: Item
+    frm: str
+    askedMs: int
+    data: bytearray
+
+
+class Shelf(Struct):
+    me: str
+    chunk: int = 262144
+    resendMs: int = 400
+    bodies: dict[str, bytes] = {}
+    items: dict[str, dict[int, Item]] = {}
+    vector: dict[str, int] = {}
+    pulls: dict[str, Pull] = {}
+    since: dict[str, int] = {}
+
+
+class Store(Struct, frozen=True):
+    item: Item
+    body: bytes
+
+
+def digestOf(body):
+    return blake2b(body, digest_size=16).hexdigest()
+
+
+def put(shelf, body):
+    number = shelf.vector.get(shelf.me, 0)
+    number = max([number, *shelf.items.get(shelf.me, {})]) + 1
+    item = Item(shelf.me, number, digestOf(body), len(body))
+    return shelf, Store(item, body)
+
+
+def stored(shelf, item, body, nowMs):
+    if item.digest:
+        shelf.bodies[item.digest] = body
+        shelf.since[item.digest] = nowMs
+    shelf.items.setdefault(item.source, {})[item.number] = item
+    held = shelf.items[item.source]
+    number = shelf.vector.get(item.source, 0)
+    while number + 1 in held and held[number + 1].digest in {"", *shelf.bodies}:
+        number += 1
+    shelf.vector[item.source] = number
+    return shelf
+
+
+def heard(shelf, frm, vector):
+    newer = any(n > shelf.vector.get(s, 0) for s, n in vector.items() if not s.startswith("~"))
+    return [(frm, NewsAsk(dict(shelf.vector)))] if newer else []
+
+
+def asked(shelf, frm, message):
+    found = []
+    for source, held in shelf.items.items():
+        known = message.vector.get(source, 0)
+        found += [(i.source, i.number, i.digest, i.size) for n, i in sorted(held.items())
+                  if n > known and (not i.digest or i.digest in shelf.bodies)]
+    return [(frm, NewsTell(tuple(found)))] if found else []
+
+
+def told(shelf, frm, message, nowMs):
+    sends, stores = [], []
+    for source, number, digest, size in message.items:
+        item = Item(source, number, digest, size)
+        if number <= shelf.vector.get(source, 0) or number in shelf.items.get(source, {}):
+            continue
+        if not digest or digest in shelf.bodies:
+            stores.append(Store(item, shelf.bodies.get(digest, b"")))
+            continue
+        pull = shelf.pulls.get(digest)
+        if pull is None:
+            shelf.pulls[digest] = Pull(item, frm, nowMs, bytearray())
+            sends.append((frm, BodyAsk(digest, 0)))
+        elif nowMs - pull.askedMs > shelf.resendMs:
+            pull.frm, pull.askedMs = frm, nowMs
+            sends.append((frm, BodyAsk(digest, len(pull.data))))
+    return shelf, sends, stores
+
+
+def bodyAsked(shelf, frm, message):
+    body = shelf.bodies.get(message.digest)
+    if body is None:
+        return []
+    data = body[message.offset:message.offset + shelf.chunk]
+    return [(frm, BodyPiece(message.digest, message.offset, len(body), data))]
+
+
+def bodyPieced(shelf, frm, message, nowMs):
+    pull = shelf.pulls.get(message.digest)
+    if pull is None or message.offset != len(pull.data):
+        return shelf, [], []
+    pull.data += message.data
+    pull.askedMs = nowMs
+    if len(pull.data) < message.total:
+        return shelf, [(frm, BodyAsk(message.digest, len(pull.data)))], []
+    del shelf.pulls[message.digest]
+    body = bytes(pull.data)
+    if digestOf(body) != message.digest:
+        return shelf, [], []
+    return shelf, [], [Store(pull.item, body)]
+
+
+def prune(shelf, wanted):
+    gone = {d for d in shelf.bodies if d not in wanted}
+    for digest in gone:
+        del shelf.bodies[digest]
+        shelf.since.pop(digest, None)
+    for held in shelf.items.values():
+        for number, item in held.items():
+            if item.digest in gone:
+                held[number] = Item(item.source, number, "", 0)
+    return shelf, gone
+
+
+def records(shelf):
+    return [Store(i, shelf.bodies.get(i.digest, b""))
+            for held in shelf.items.values() for _, i in sorted(held.items())]
--- /dev/null
+++ b/frostpost/trellis/stamp.py
@@ -0,0 +1,100 @@
+from expression import Error, Ok
+from msgspec import Struct
+
+from .shapes import DEFAULTS, LANE, ConfigInvalid, Fault, check
+from cerberus import Validator
+
+
+class Lane(Struct, frozen=True):
+    tenant: str
+    name: str
+    kind: str
+    pools: tuple[str, ...]
+    repeat: str
+    urgency: str
+    limitMs: int
+    keepMs: int
+    budget: int
+    maxOutput: int
+    keyWindowMs: int
+    marks: tuple[tuple[str, int], ...] = ()
+
+
+def parameters(template, tenant):
+    values, faults = {}, []
+    known = template.get("parameters", {})
+    given = tenant.get("parameters", {})
+    for name in given:
+        if name not in known:
+            faults.append(Fault(f"/parameters/{name}", "the template has no such parameter"))
+    for name, rule in known.items():
+        value = given.get(name, rule["default"])
+        checker = {k: v for k, v in rule.items() if k != "default"}
+        checker["type"] = "integer" if isinstance(rule["default"], int) else "string"
+        validator = Validator({name: checker})
+        if not validator.validate({name: value}):
+            faults += [Fault(f"/parameters/{name}", str(t)) for t in validator.errors[name]]
+        values[name] = value
+    return values, faults
+
+
+def fill(value, values, path, faults):
+    if isinstance(value, dict) and "$param" in value:
+        name = value["$param"]
+        if name not in values:
+            faults.append(Fault(path, f"parameter {name} is not declared"))
+            return None
+        return values[name]
+    return value
+
+
+def stamp(tenantName, template, tenant, marks=()):
+    values, faults = parameters(template, tenant)
+    lanes = {}
+    for name, shape in template["lanes"].items():
+        path = f"/lanes/{name}"
+        filled = {k: fill(v, values, f"{path}/{k}", faults) for k, v in {**DEFAULTS, **shape}.items()}
+        if faults:
+            continue
+        validator = Validator(LANE)
+        if not validator.validate(filled):
+            for key, said in validator.errors.items():
+                faults += [Fault(f"{path}/{key}", str(t)) for t in said]
+            continue
+        filled["pools"] = tuple(filled["pools"])
+        lanes[name] = Lane(tenantName, name, marks=tuple(marks), **filled)
+    if faults:
+        return Error(ConfigInvalid(tuple(faults)))
+    return Ok(lanes)
+
+
+def patch(document, change):
+    if not isinstance(change, dict):
+        return change
+    base = dict(document) if isinstance(document, dict) else {}
+    for key, value in change.items():
+        if value is None:
+            base.pop(key, None)
+        else:
+            base[key] = patch(base.get(key), value)
+    return base
+
+
+def checkTenant(name, tenant, template):
+    def withTemplate(document):
+        if template is None:
+            return Error(ConfigInvalid((Fault("/template", "no such template"),)))
+        return stamp(name, template, document)
+    return check("tenants", tenant).bind(withTemplate)
+
+
+def checkTemplate(template, tenants):
+    def withTenants(document):
+        faults = []
+        for name, tenant in [("", {}), *tenants]:
+            stamped = stamp(name, document, tenant)
+            if stamped.is_error():
+                where = f"/tenants/{name}" if name else ""
+                faults += [Fault(where + f.path, f.text) for f in stamped.error.faults]
+        return Error(ConfigInvalid(tuple(faults))) if faults else Ok(document)
+    return check("templates", template).bind(withTenants)
--- /dev/null
+++ b/frostpost/weather/world.py
@@ -0,0 +1,222 @@
+from heapq import heappop, heappush
+from random import Random
+
+from msgspec import Struct, field
+
+from frostpost.hedgerow import events
+from frostpost.hedgerow.state import Bounds, replay
+from frostpost.hedgerow.events import Received, Rewrite, Synced, Tick
+from frostpost.hedgerow.words import Member, Place
+from frostpost.orchard import core as cores
+
+
+class Disk(Struct):
+    lasting: list = []
+    written: list = []
+    syncing: int = 0
+    delayMs: int = 3
+    boots: int = 0
+    wrote: int = 0
+    syncs: int = 0
+
+
+class Node(Struct):
+    name: str
+    role: str
+    cell: str
+    place: Place | None = None
+    core: cores.Core | None = None
+    disk: Disk = field(default_factory=Disk)
+    life: int = 0
+    frozen: bool = False
+    queue: list = []
+    skewMs: int = 0
+
+
+class World(Struct):
+    seed: int
+    random: Random
+    bounds: Bounds
+    nodes: dict[str, Node]
+    voters: tuple[str, ...]
+    nowMs: float = 0.0
+    queue: list = []
+    serial: int = 0
+    cuts: set = set()
+    lossRate: float = 0.0
+    history: list = []
+    sent: int = 0
+    trace: list = []
+    tap: object = None
+    plants: frozenset = frozenset()
+
+
+def make(seed, edges=2, storages=3, coresCount=2, bounds=None):
+    nodes = {}
+    for role, letter, many in (("storage", "s", storages), ("core", "c", coresCount), ("edge", "e", edges)):
+        for i in range(many):
+            nodes[f"{letter}{i + 1}"] = Node(f"{letter}{i + 1}", role, "abc"[i % 3])
+    voters = tuple(n for n in nodes if n[0] == "s")
+    world = World(seed, Random(seed), bounds or Bounds(), nodes, voters)
+    for name in nodes:
+        start(world, name)
+    return world
+
+
+def at(world, delayMs, kind, *rest):
+    world.serial += 1
+    heappush(world.queue, (world.nowMs + delayMs, world.serial, kind, rest))
+
+
+def start(world, name):
+    node = world.nodes[name]
+    node.life += 1
+    node.disk.boots += 1
+    boot = node.disk.boots if node.role == "storage" else world.random.randrange(1 << 40)
+    member = Member(name, boot)
+    node.place = Place(member, node.role, node.cell, name, 1, 0)
+    seeds = [f"@{n}:1" for n in list(world.nodes)[:3]]
+    log = replay(node.disk.lasting)
+    node.frozen, node.queue, node.disk.syncing = False, [], 0
+    node.disk.written, node.disk.wrote = [], 0
+    node.core, out = cores.begin(
+        node.place, world.bounds, seeds, world.voters, log, int(world.nowMs) + node.skewMs)
+    note(world, name, events.Changed(node.core.hedge.configuration, False))
+    perform(world, node, out)
+    at(world, world.random.random() * 20, "tick", name, node.life)
+
+
+def kill(world, name, power=False):
+    node = world.nodes[name]
+    if node.core is None:
+        return
+    kept = len(node.disk.written)
+    if power:
+        kept = world.random.randint(0, kept)
+    for record in node.disk.written[:kept]:
+        last(node.disk, record)
+    node.disk.written = []
+    note(world, name, "failed")
+    node.core, node.life = None, node.life + 1
+
+
+def last(disk, record):
+    if isinstance(record, Rewrite):
+        disk.lasting = list(record.records)
+    else:
+        disk.lasting.append(record)
+
+
+def note(world, name, answer):
+    node = world.nodes[name]
+    member = node.place.member
+    world.history.append((round(world.nowMs, 3), member, answer))
+
+
+def feed(world, name, input):
+    node = world.nodes[name]
+    if node.core is None:
+        return
+    if node.frozen:
+        node.queue.append(input)
+        return
+    node.core, out = cores.step(node.core, input)
+    perform(world, node, out)
+
+
+def clock(world, node):
+    return int(world.nowMs) + node.skewMs
+
+
+def perform(world, node, out):
+    for to, body in out.sends:
+        target = to[1:].split(":")[0] if to[0] == "@" else to
+        send(world, node, target, body)
+    if out.writes:
+        node.disk.written += out.writes
+        node.disk.wrote += len(out.writes)
+        sync(world, node)
+    for answer in out.answers:
+        note(world, node.name, answer)
+        if world.tap:
+            world.tap(world, node, answer)
+
+
+def sync(world, node):
+    if not node.disk.syncing and node.disk.written:
+        node.disk.syncing = len(node.disk.written)
+        node.disk.syncs += 1
+        delayMs = node.disk.delayMs * (0.5 + world.random.random())
+        at(world, delayMs, "synced", node.name, node.life, node.disk.wrote)
+
+
+def send(world, node, target, body):
+    world.sent += 1
+    other = world.nodes.get(target)
+    if other is None or (node.name, target) in world.cuts:
+        return
+    if world.lossRate and world.random.random() < world.lossRate:
+        return
+    far = 0.5 if other.cell != node.cell else 0.1
+    at(world, far + world.random.expovariate(2), "arrive", target, node.place, body)
+
+
+def run(world, untilMs):
+    while world.queue and world.queue[0][0] <= untilMs:
+        whenMs, _, kind, rest = heappop(world.queue)
+        world.nowMs = max(world.nowMs, whenMs)
+        handle(world, kind, rest)
+    world.nowMs = max(world.nowMs, untilMs)
+
+
+def handle(world, kind, rest):
+    if kind == "call":
+        rest[0](world, *rest[1:])
+        return
+    node = world.nodes[rest[0]]
+    if kind == "arrive":
+        if node.core is not None:
+            if node.frozen:
+                node.queue.append((rest[1], rest[2]))
+            else:
+                feed(world, node.name, Received(clock(world, node), rest[1], rest[2]))
+    elif rest[1] != node.life:
+        return
+    elif kind == "tick":
+        if not node.frozen:
+            feed(world, node.name, Tick(clock(world, node)))
+        at(world, 20, "tick", node.name, node.life)
+    elif kind == "synced":
+        done, node.disk.syncing = node.disk.syncing, 0
+        for record in node.disk.written[:done]:
+            last(node.disk, record)
+        node.disk.written = node.disk.written[done:]
+        if not node.frozen:
+            feed(world, node.name, Synced(clock(world, node), rest[2]))
+        else:
+            node.queue.append(rest[2])
+        sync(world, node)
+
+
+def freeze(world, name):
+    world.nodes[name].frozen = True
+
+
+def thaw(world, name):
+    node = world.nodes[name]
+    if not node.frozen or node.core is None:
+        return
+    node.frozen, queue, node.queue = False, node.queue, []
+    for item in queue:
+        if isinstance(item, int):
+            feed(world, name, Synced(clock(world, node), item))
+        else:
+            feed(world, name, Received(clock(world, node), item[0], item[1]))
+
+
+def cut(world, left, right, oneWay=False):
+    for a in left:
+        for b in right:
+            world.cuts.add((a, b))
+            if not oneWay:
+                world.cuts.add((b, a))
