--- a/frostpost/hedgerow/ordering.py
+++ b/frostpost/hedgerow/ordering.py
@@ -59,7 +59,16 @@
     count(hedge, "ordered", len(entries))
     for name in names(hedge.configuration):
         order.sentMs[name] = hedge.nowMs
-        out.sends.append((name, Batch(hedge.configuration.id, entries, order.safe)))
+        if name != hedge.name:
+            out.sends.append((name, Batch(hedge.configuration.id, entries, order.safe)))
+    take(hedge, out, entries)
+
+
+def take(hedge, out, entries):
+    for entry in entries:
+        if entry.ordinal > hedge.order.delivered:
+            hedge.order.held.setdefault(entry.ordinal, entry)
+    advance(hedge, out)
 
 
 def batched(hedge, out, frm, message):
@@ -67,10 +76,7 @@
     if message.id != hedge.configuration.id or hedge.recovery:
         count(hedge, "foreign")
         return
-    for entry in message.entries:
-        if entry.ordinal > order.delivered:
-            order.held.setdefault(entry.ordinal, entry)
-    advance(hedge, out)
+    take(hedge, out, message.entries)
     order.safe = max(order.safe, message.safe)
     deliver(hedge, out)
 
--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -9,17 +9,33 @@
 encode = msgpack.Encoder().encode
 
 
+def reach(plan, last):
+    said = [e for e in plan.values() if e.last == last]
+    top, extras = max(e.top for e in said), {o for e in said for o in e.extra}
+    while top + 1 in extras:
+        top += 1
+    return top
+
+
+def lengthOf(plan, name):
+    said = plan[name]
+    if said.memory.primary != said.last:
+        return said.memory.length
+    return said.memory.length - said.top + reach(plan, said.last)
+
+
 def judge(plan):
     memories = {n: e.memory for n, e in plan.items() if e.memory}
     if not memories:
         voters = max((e.voters for e in plan.values()), key=len, default=())
         able = bool(voters) and all(v in plan for v in voters)
         return Primary(able=able, donor=min(voters, default=""), voters=voters)
-    donor = max(memories, key=lambda n: (memories[n].primary, memories[n].length, n))
-    best = memories[donor]
-    untouched = best.length <= 1 and all(v in plan for v in best.voters)
+    lengths = {n: lengthOf(plan, n) for n in memories}
+    donor = max(memories, key=lambda n: (memories[n].primary, lengths[n], n))
+    best, base = memories[donor], lengths[donor]
+    untouched = base <= 1 and all(v in plan for v in best.voters)
     if majority(best.voters, memories) or untouched:
-        return Primary(able=True, donor=donor, base=best.length, voters=best.voters)
+        return Primary(able=True, donor=donor, base=base, voters=best.voters)
     return Primary(voters=best.voters)
 
 
@@ -162,8 +178,11 @@
     count(hedge, "filled", len(message.entries))
     if hedge.storage:
         relog(hedge, out, message.entries)
-        reached = log.entries and log.length >= primary.base or log.start >= primary.base
-        if reached and (primary.same or caught(hedge, message)):
+        if not primary.same:
+            last = message.entries[-1].index if message.entries else primary.base
+            del log.entries[max(0, last - log.start):]
+            primary.same = True
+        if log.length >= primary.base:
             becomeReady(hedge, out)
     else:
         for entry in message.entries:
@@ -174,15 +193,6 @@
     fetch(hedge, out)
 
 
-def caught(hedge, message):
-    last = message.entries[-1].index if message.entries else hedge.primary.base
-    if last >= hedge.primary.base:
-        return True
-    hedge.primary.same = True
-    del hedge.log.entries[max(0, last - hedge.log.start):]
-    return False
-
-
 def pieced(hedge, out, frm, message):
     primary = hedge.primary
     if message.id != hedge.configuration.id or not lacking(hedge):
--- /dev/null
+++ b/frostpost/weather/checks.py
@@ -0,0 +1,159 @@
+from collections import defaultdict
+
+from msgspec import Struct
+
+from frostpost.hedgerow.events import Changed, Delivered
+
+
+class Broken(Struct, frozen=True):
+    spec: str
+    text: str
+
+
+class Life(Struct):
+    member: object
+    stages: list = []
+    failed: bool = False
+
+
+class Stage(Struct):
+    configuration: object
+    transitional: bool
+    delivered: list = []
+
+
+def lives(history):
+    found = {}
+    for _, member, answer in history:
+        life = found.setdefault(member, Life(member))
+        if answer == "failed":
+            life.failed = True
+        elif isinstance(answer, Changed):
+            life.stages.append(Stage(answer.configuration, answer.transitional))
+        elif isinstance(answer, Delivered):
+            life.stages[-1].delivered.append(answer.entry)
+    return found
+
+
+def idOf(stage):
+    key = stage.configuration.id
+    return (key, stage.configuration.members) if stage.transitional else (key, ())
+
+
+def basics(found):
+    contents = {}
+    for life in found.values():
+        seen = set()
+        for stage in life.stages:
+            if life.member not in stage.configuration.members:
+                yield Broken("2.2", f"{life.member} installed {idOf(stage)} without being in it")
+            for entry in stage.delivered:
+                key = (entry.configuration, entry.ordinal)
+                if entry.configuration != stage.configuration.id:
+                    yield Broken("1.3", f"{life.member} delivered {key} in {idOf(stage)}")
+                if key in seen:
+                    yield Broken("1.4", f"{life.member} delivered {key} twice")
+                seen.add(key)
+                if contents.setdefault(key, entry) != entry:
+                    yield Broken("1.4", f"{key} has two contents")
+
+
+def regulars(life):
+    groups = []
+    for stage in life.stages:
+        if not stage.transitional:
+            groups.append([stage, None])
+        else:
+            groups[-1][1] = stage
+    return groups
+
+
+def order(found):
+    edges, into = defaultdict(set), defaultdict(int)
+    nodes = set()
+    for life in found.values():
+        last = None
+        for stage in life.stages:
+            for node in [("conf", idOf(stage)), *(("m", e.configuration, e.ordinal) for e in stage.delivered)]:
+                nodes.add(node)
+                if last is not None and node not in edges[last]:
+                    edges[last].add(node)
+                    into[node] += 1
+                last = node
+    free = [n for n in nodes if not into[n]]
+    done = 0
+    while free:
+        node = free.pop()
+        done += 1
+        for other in edges[node]:
+            into[other] -= 1
+            if not into[other]:
+                free.append(other)
+    if done != len(nodes):
+        yield Broken("6.1", f"{len(nodes) - done} events lie on a cycle (1.1, 2.3, 2.4, 6.2)")
+
+
+def ordinals(group):
+    return [e.ordinal for stage in group if stage for e in stage.delivered]
+
+
+def causal(found):
+    for life in found.values():
+        for group in regulars(life):
+            said = ordinals(group)
+            if said != list(range(1, len(said) + 1)):
+                yield Broken("5", f"{life.member} delivered {said[:20]} in {idOf(group[0])} (6.3)")
+
+
+def selfDelivery(found, sent):
+    for life in found.values():
+        for group in regulars(life)[:-1]:
+            mine = sent.get((life.member, group[0].configuration.id), 0)
+            if mine > len(ordinals(group)):
+                yield Broken("3", f"{life.member} sent {mine} in {idOf(group[0])}, delivered fewer")
+
+
+def atomicity(found):
+    held = {}
+    for life in found.values():
+        for stage, after in zip(life.stages, life.stages[1:]):
+            key = (idOf(stage), idOf(after))
+            said = [e.ordinal for e in stage.delivered]
+            other, said0 = held.setdefault(key, (life.member, said))
+            if said0 != said:
+                yield Broken("4", f"{other} and {life.member} differ in {key}")
+
+
+def safety(found):
+    for life in found.values():
+        for stage in life.stages:
+            if not stage.delivered:
+                continue
+            top = stage.delivered[-1].ordinal
+            for member in stage.configuration.members:
+                other = found.get(member)
+                groups = [] if other is None else [
+                    g for g in regulars(other) if g[0].configuration.id == stage.configuration.id]
+                if not groups:
+                    if not stage.transitional and (other is None or not other.failed):
+                        yield Broken("7.2", f"{member} never installed {idOf(stage)}")
+                    continue
+                last = other.stages[-1].configuration.id == stage.configuration.id
+                if top not in ordinals(groups[0]) and not (last and other.failed):
+                    yield Broken("7.1", f"{life.member} delivered {top} in {idOf(stage)}, {member} did not")
+
+
+def settled(found):
+    alive = {m: life for m, life in found.items() if not life.failed}
+    for member, life in alive.items():
+        last = life.stages[-1]
+        for other in last.configuration.members:
+            if other not in alive or idOf(alive[other].stages[-1]) != idOf(last):
+                yield Broken("2.1", f"{member} rests in {idOf(last)}, {other} does not")
+
+
+def evs(history, sent):
+    found = lives(history)
+    return [
+        *basics(found), *order(found), *causal(found), *selfDelivery(found, sent),
+        *atomicity(found), *safety(found), *settled(found)]
--- /dev/null
+++ b/frostpost/weather/ledger.py
@@ -0,0 +1,126 @@
+from collections import defaultdict
+
+from frostpost.granary.apply import apply, decodeOp, encode
+from frostpost.granary.words import (
+    ClaimKey, ConfigSet, Done, Granary, Open, Reserved, SetConfig, Settle, Unclaim, Won,
+)
+from frostpost.hedgerow.events import Applied
+from frostpost.hedgerow.state import majority
+from frostpost.orchard.core import Decided
+from .checks import Broken
+
+
+def oneOrder(history):
+    order = {}
+    for _, member, answer in history:
+        if isinstance(answer, Applied):
+            entry = answer.entry
+            if order.setdefault(entry.index, entry) != entry:
+                return order, [Broken("ledger.order", f"index {entry.index} differs at {member}")]
+    return order, []
+
+
+def kept(history, order):
+    mine = {(e.sender, e.number): i for i, e in order.items() if e.number}
+    for atMs, member, answer in history:
+        if isinstance(answer, Decided) and answer.verdict is not None:
+            if (member, answer.number) not in mine:
+                yield Broken("ledger.kept", f"{member}'s {answer.number} was decided and is lost")
+
+
+def agreed(world):
+    states = {}
+    for node in world.nodes.values():
+        if node.core is None:
+            continue
+        granary = node.core.granary
+        known = states.setdefault(granary.index, (node.name, encode(granary)))
+        if known[1] != encode(granary):
+            yield Broken("ledger.state", f"{node.name} and {known[0]} differ at {granary.index}")
+
+
+def primaries(order):
+    last = None
+    for index in sorted(order):
+        op = decodeOp(order[index].payload)
+        if not isinstance(op, Open):
+            continue
+        id = order[index].configuration
+        if not majority(op.voters, {m.name for m in op.members}):
+            yield Broken("primary.majority", f"{id} opened without a majority")
+        if last is not None:
+            if id <= last[0]:
+                yield Broken("primary.order", f"{id} opened after {last[0]}")
+            if not {m.name for m in op.members} & last[1]:
+                yield Broken("primary.continuity", f"{id} shares nobody with {last[0]}")
+        last = (id, {m.name for m in op.members})
+
+
+def budgets(order, verdicts, budgetOf):
+    spent = defaultdict(int)
+    for entry in order.values():
+        op = decodeOp(entry.payload)
+        if isinstance(op, Settle):
+            entryOf = order[op.reservation]
+            granted = verdicts.get((entryOf.sender, entryOf.number))
+            if not isinstance(granted, Reserved) or op.used > granted.amount:
+                yield Broken("budget", f"{op.used} handed out against {granted}")
+            spent[decodeOp(entryOf.payload).program] += op.used
+    for program, units in spent.items():
+        if units > budgetOf:
+            yield Broken("budget", f"{program} was handed {units} of {budgetOf}")
+
+
+def keys(order, verdicts):
+    held = {}
+    for index in sorted(order):
+        entry = order[index]
+        op = decodeOp(entry.payload)
+        said = verdicts.get((entry.sender, entry.number))
+        if isinstance(op, ClaimKey) and said and isinstance(said, Won):
+            if op.key in held:
+                yield Broken("key", f"{op.key} was won at {held[op.key]} and at {index}")
+            held[op.key] = index
+        if isinstance(op, Unclaim) and said and isinstance(said, Done):
+            held.pop(op.key, None)
+
+
+def configs(order, verdicts):
+    acked = {}
+    for index in sorted(order):
+        entry = order[index]
+        op = decodeOp(entry.payload)
+        said = verdicts.get((entry.sender, entry.number))
+        if isinstance(op, SetConfig) and said and isinstance(said, ConfigSet):
+            key = (op.path, said.version)
+            if key in acked:
+                yield Broken("config", f"{key} was acknowledged twice")
+            acked[key] = index
+
+
+def replayed(order):
+    granary, verdicts = Granary(), {}
+    for index in range(1, max(order, default=0) + 1):
+        entry = order.get(index)
+        if entry is None:
+            return verdicts, [Broken("ledger.order", f"nobody applied {index}")]
+        granary, verdict = apply(granary, entry)
+        if verdict is not None:
+            verdicts[(entry.sender, entry.number)] = verdict
+    return verdicts, []
+
+
+def told(history, verdicts):
+    for _, member, answer in history:
+        if isinstance(answer, Decided) and answer.verdict is not None:
+            if verdicts.get((member, answer.number)) != answer.verdict:
+                yield Broken("ledger.told", f"{member} was told otherwise of {answer.number}")
+
+
+def ledger(world, budgetOf):
+    order, broken = oneOrder(world.history)
+    verdicts, gaps = replayed(order)
+    return [
+        *broken, *gaps, *kept(world.history, order), *told(world.history, verdicts),
+        *agreed(world), *primaries(order), *budgets(order, verdicts, budgetOf),
+        *keys(order, verdicts), *configs(order, verdicts)]
--- /dev/null
+++ b/frostpost/weather/main.py
@@ -0,0 +1,62 @@
+import sys
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from typing import Annotated
+
+import cappa
+from msgspec import Struct, json
+
+from .plants import PLANTS, planted
+from .play import play
+from .storm import FAULTS
+
+SHAPES = {"quick": (2, 3, 2), "full": (8, 3, 5), "five": (3, 5, 3)}
+
+
+def one(job):
+    seed, shape, kinds, gapMs, plant = job
+    edges, storages, cores = SHAPES[shape]
+    with planted(plant):
+        _, report = play(seed, edges, storages, cores, kinds or None, gapMs=gapMs)
+    return report
+
+
+@cappa.command(name="weather", help="Play seeded storms against the daemons' core under a virtual clock.")
+class Weather(Struct, kw_only=True):
+    first: Annotated[int, cappa.Arg(long=True, help="first seed")] = 1
+    seeds: Annotated[int, cappa.Arg(long=True, help="how many seeds")] = 100
+    shape: Annotated[str, cappa.Arg(long=True, help=f"one of {', '.join(SHAPES)}")] = "quick"
+    kinds: Annotated[list[str], cappa.Arg(long="--kind", help=f"faults: {', '.join(FAULTS)}; all if not given")] = []
+    gapMs: Annotated[int, cappa.Arg(long="--gap-ms", help="the longest wait between two faults")] = 2500
+    plant: Annotated[str, cappa.Arg(long=True, help=f"a fault planted in the code: {', '.join(PLANTS)}")] = ""
+    workers: Annotated[int, cappa.Arg(long=True)] = 8
+
+
+def main():
+    command = cappa.parse(Weather)
+    unknown = [k for k in command.kinds if k not in FAULTS]
+    if unknown or command.shape not in SHAPES or command.plant not in ("", *PLANTS):
+        print(f"UnknownWord: {unknown or command.shape} {command.plant}", file=sys.stderr)
+        return 64
+    jobs = [(s, command.shape, command.kinds, command.gapMs, command.plant)
+            for s in range(command.first, command.first + command.seeds)]
+    startS, broken, backs, totals = time.monotonic(), Counter(), [], Counter()
+    with ProcessPoolExecutor(command.workers) as pool:
+        for report in pool.map(one, jobs, chunksize=4):
+            backs.append(report.backMs)
+            totals.update(asked=report.asked, decided=report.decided, sent=report.sent,
+                          installs=report.installs, faults=len(report.trace))
+            broken.update({b.spec for b in report.broken})
+            if report.broken:
+                print(json.encode(report).decode()[:1500])
+    backs.sort()
+    print(json.encode({
+        "seeds": len(jobs), "brokenSeeds": dict(broken), "backMs": {
+            "median": backs[len(backs) // 2], "most": backs[-1]}, **totals,
+        "seconds": round(time.monotonic() - startS, 1)}).decode())
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/frostpost/weather/plants.py
@@ -0,0 +1,94 @@
+from contextlib import contextmanager
+
+from frostpost.granary import apply as applying
+from frostpost.granary import keys, programs
+from frostpost.hedgerow import ordering, recovery, settling, watch
+from frostpost.hedgerow.events import Delivered
+from frostpost.granary.words import ConfigSet, Mark, Won
+
+
+def ackUnsynced(hedge, out):
+    order = hedge.order
+    while order.top + 1 in order.held:
+        order.top += 1
+        if hedge.storage and hedge.primary.readyAt >= 0:
+            settling.record(hedge, out, order.held[order.top])
+    if not hedge.recovery:
+        ordering.acknowledge(hedge, out, order.top)
+
+
+def anyMajority(voters, present):
+    return len(voters) > 0 and any(v in present for v in voters)
+
+
+def oldLength(plan, name):
+    return plan[name].memory.length
+
+
+def eagerDeliver(hedge, out):
+    hedge.order.safe = max(hedge.order.safe, hedge.order.top)
+    order = hedge.order
+    while order.delivered < order.safe and order.delivered < order.top:
+        order.delivered += 1
+        entry = order.held[order.delivered]
+        out.answers.append(Delivered(entry, False, hedge.primary.able))
+        if hedge.primary.able:
+            settling.act(hedge, out, entry)
+
+
+def everLeased(hedge, nowMs):
+    return hedge.primary.opened
+
+
+def freeClaim(granary, entry, op):
+    return Won(entry.index)
+
+
+def noCompare(granary, entry, op):
+    mark = granary.configs.get(op.path)
+    version = op.ifVersion + 1
+    granary.configs[op.path] = Mark(version, op.digest, op.size, op.source, op.number, entry.index)
+    return ConfigSet(version, entry.index) if mark is None or version else None
+
+
+def looseReserve(granary, entry, op):
+    program = granary.programs.get(op.program)
+    if program is not None:
+        program.spent = 0
+    return KEPT["reserve"](granary, entry, op)
+
+
+def noUnion(hedge, out):
+    hedge.recovery.owed = {}
+
+
+def lateSelf(hedge, out, entries):
+    return None
+
+
+KEPT = {"reserve": programs.reserve}
+PLANTS = {
+    "ackUnsynced": [(ordering, "advance", ackUnsynced), (recovery, "advance", ackUnsynced)],
+    "minorityPrimary": [(settling, "majority", anyMajority), (recovery, "majority", anyMajority)],
+    "baseBeforeRebroadcast": [(settling, "lengthOf", oldLength)],
+    "deliverUnsafe": [(ordering, "deliver", eagerDeliver)],
+    "noLease": [(watch, "leaseOk", everLeased)],
+    "freeClaim": [(keys, "claim", freeClaim)],
+    "noCompare": [(applying, "config", noCompare)],
+    "budgetForgotten": [(programs, "reserve", looseReserve)],
+    "noRebroadcast": [(recovery, "rebroadcast", noUnion)],
+    "dropOwn": [(ordering, "take", lateSelf)],
+}
+
+
+@contextmanager
+def planted(name):
+    changes = PLANTS.get(name, [])
+    kept = [(module, word, getattr(module, word)) for module, word, _ in changes]
+    for module, word, fault in changes:
+        setattr(module, word, fault)
+    try:
+        yield
+    finally:
+        for module, word, was in kept:
+            setattr(module, word, was)
--- /dev/null
+++ b/frostpost/weather/storm.py
@@ -0,0 +1,249 @@
+from random import Random
+
+from msgspec import Struct, field, msgpack
+
+from frostpost.granary import duties
+from frostpost.granary.programs import line
+from frostpost.granary.words import (
+    ClaimKey, Drain, Finish, Release, Reserve, Reserved, Runner, Runners, SetConfig, Settle, Tick,
+    Unclaim, Won,
+)
+from frostpost.hedgerow.events import Asked
+from frostpost.orchard.core import Decided, leaseOk
+from . import world as worlds
+from .checks import Broken
+
+encode = msgpack.Encoder().encode
+BUDGET = 60
+RUNNERS = tuple(Runner(f"r{n}", f"i{n}", "127.0.0.1", n, "pool", "a", 4) for n in range(4))
+
+
+class Work(Struct):
+    random: Random
+    everyMs: float = 15.0
+    untilMs: float = 0.0
+    asked: int = 0
+    decided: int = 0
+    leases: list = []
+    breaks: list = []
+    firstMs: dict = field(default_factory=dict)
+
+
+def ask(world, name, op):
+    node = world.nodes[name]
+    if node.core is not None:
+        world.ops[(node.place.member, node.core.hedge.number + 1)] = op
+    worlds.feed(world, name, Asked(worlds.clock(world, node), encode(op)))
+
+
+def serves(world, node):
+    return node.core is not None and not node.frozen and leaseOk(node.core, worlds.clock(world, node))
+
+
+def work(world, state):
+    if world.nowMs > state.untilMs:
+        return
+    random = state.random
+    worlds.at(world, random.expovariate(1 / state.everyMs), "call", work, state)
+    able = [n for n in world.nodes.values() if serves(world, n)]
+    if not able:
+        return
+    node = random.choice(able)
+    state.asked += 1
+    granary, me = node.core.granary, node.place.member
+    fence = duties.held(granary, "list", me)
+    if fence and not granary.runners:
+        return ask(world, node.name, Runners(fence, RUNNERS))
+    fence = duties.held(granary, "ticks", me)
+    if fence and random.random() < 0.3:
+        return ask(world, node.name, Tick(fence, 50))
+    kind = random.random()
+    if kind < 0.5:
+        ask(world, node.name, Reserve(
+            f"p{random.randrange(12)}", 1 + random.randrange(9), BUDGET, 1 << 40, ("pool",),
+            tuple((r.name, r.instance) for r in random.sample(RUNNERS, 3)), ()))
+    elif kind < 0.8:
+        ask(world, node.name, ClaimKey(f"k{random.randrange(40)}", "d", 1 << 40))
+    elif kind < 0.95:
+        mark = granary.configs.get("templates/t")
+        ask(world, node.name, SetConfig(
+            "templates/t", str(state.asked), 1, mark.version if mark else 0, me.name, state.asked, ()))
+    else:
+        ask(world, node.name, Drain(f"r{random.randrange(4)}", random.random() < 0.3))
+
+
+def tap(state):
+    def heard(world, node, answer):
+        if not isinstance(answer, Decided):
+            return
+        state.decided += 1
+        if world.trap:
+            world.trap = False
+            worlds.at(world, 0, "call", votersDown)
+        op = world.ops.get((node.place.member, answer.number))
+        follow(world, node, state.random, op, answer.verdict)
+    return heard
+
+
+def follow(world, node, random, asked, verdict):
+    waitMs = random.random() * 150
+    if isinstance(verdict, Reserved):
+        op = Release(verdict.index) if random.random() < 0.2 else Settle(
+            verdict.index, random.randint(0, verdict.amount), line("in", f"out{verdict.index}"))
+        worlds.at(world, waitMs, "call", later, node.name, node.life, op)
+    elif isinstance(verdict, Won):
+        op = Unclaim(asked.key) if random.random() < 0.2 else Finish(asked.key, "done", b"v")
+        worlds.at(world, waitMs, "call", later, node.name, node.life, op)
+
+
+def later(world, name, life, op):
+    node = world.nodes[name]
+    if node.life != life or node.core is None:
+        return
+    if node.frozen:
+        worlds.at(world, 20, "call", later, name, life, op)
+        return
+    ask(world, name, op)
+
+
+def watch(world, state):
+    if world.nowMs > state.untilMs + 20000:
+        return
+    worlds.at(world, 40, "call", watch, state)
+    leased = []
+    for node in world.nodes.values():
+        if node.core is None or node.frozen:
+            continue
+        hedge = node.core.hedge
+        id = hedge.configuration.id
+        if hedge.primary.opened:
+            state.firstMs.setdefault(id, world.nowMs)
+        if serves(world, node):
+            leased.append((node.name, id))
+    for name, id in leased:
+        for other, sinceMs in state.firstMs.items():
+            if other > id and world.nowMs > sinceMs + world.bounds.leaseMs + 1:
+                state.breaks.append(Broken("lease", f"{name} serves under {id} after {other}"))
+
+
+def split(random, names):
+    names = list(names)
+    random.shuffle(names)
+    at = random.randint(1, len(names) - 1)
+    return names[:at], names[at:]
+
+
+def storm(world, random, untilMs, kinds, gapMs=2500):
+    atMs = 2500.0
+    while atMs < untilMs:
+        kind = random.choice(kinds)
+        worlds.at(world, atMs - world.nowMs, "call", FAULTS[kind], random)
+        world.trace.append((round(atMs), kind))
+        atMs += random.uniform(20, gapMs)
+
+
+def revive(world, name):
+    if world.nodes[name].core is None:
+        worlds.start(world, name)
+
+
+def killOne(world, random, power=False):
+    name = random.choice(sorted(world.nodes))
+    worlds.kill(world, name, power)
+    worlds.at(world, random.uniform(50, 3000), "call", revive, name)
+
+
+def powerOne(world, random):
+    killOne(world, random, True)
+
+
+def allDown(world, random):
+    for name in world.nodes:
+        worlds.kill(world, name, True)
+        worlds.at(world, random.uniform(100, 1500), "call", revive, name)
+
+
+def votersDown(world):
+    for name in world.voters:
+        worlds.kill(world, name, True)
+        worlds.at(world, 100 + 10 * len(name), "call", revive, name)
+
+
+def powerAfterAck(world, random):
+    world.trap = True
+    for name in world.voters:
+        world.nodes[name].disk.delayMs = 40
+        worlds.at(world, 1500, "call", quickDisk, name)
+
+
+def freezeOne(world, random):
+    name = random.choice(sorted(world.nodes))
+    worlds.freeze(world, name)
+    worlds.at(world, random.uniform(50, 3500), "call", worlds.thaw, name)
+
+
+def cutSome(world, random):
+    left, right = split(random, world.nodes)
+    worlds.cut(world, left, right, oneWay=random.random() < 0.3)
+    worlds.at(world, random.uniform(100, 3000), "call", mend)
+
+
+def cutPairs(world, random):
+    for _ in range(random.randint(1, 4)):
+        a, b = random.sample(sorted(world.nodes), 2)
+        worlds.cut(world, [a], [b], oneWay=random.random() < 0.5)
+    worlds.at(world, random.uniform(100, 4000), "call", mend)
+
+
+def cutThree(world, random):
+    left, rest = split(random, world.nodes)
+    worlds.cut(world, left, rest)
+    if len(rest) > 1:
+        worlds.cut(world, *split(random, rest))
+    worlds.at(world, random.uniform(100, 3000), "call", mend)
+
+
+def mend(world):
+    world.cuts.clear()
+    world.lossRate = 0.0
+
+
+def lossy(world, random):
+    world.lossRate = random.uniform(0.01, 0.2)
+    worlds.at(world, random.uniform(100, 2000), "call", mend)
+
+
+def slowDisk(world, random):
+    name = random.choice(world.voters)
+    world.nodes[name].disk.delayMs = random.choice([50, 400, 1500])
+    worlds.at(world, random.uniform(200, 2500), "call", quickDisk, name)
+
+
+def quickDisk(world, name):
+    world.nodes[name].disk.delayMs = 3
+
+
+def loseDisk(world, random):
+    full = [n for n in world.voters if world.nodes[n].core is not None
+            and world.nodes[n].core.hedge.primary.ready and world.nodes[n].core.hedge.primary.opened]
+    if len(full) < len(world.voters):
+        return
+    name = random.choice(full)
+    worlds.kill(world, name, True)
+    world.nodes[name].disk.lasting = []
+    worlds.at(world, random.uniform(50, 2000), "call", revive, name)
+
+
+FAULTS = {
+    "kill": killOne, "power": powerOne, "allDown": allDown, "freeze": freezeOne, "cut": cutSome,
+    "pairs": cutPairs, "three": cutThree, "lossy": lossy, "slowDisk": slowDisk, "loseDisk": loseDisk,
+    "ackPower": powerAfterAck,
+}
+
+
+def heal(world):
+    mend(world)
+    for name, node in world.nodes.items():
+        node.disk.delayMs = 3
+        revive(world, name)
+        worlds.thaw(world, name)
--- a/frostpost/weather/world.py
+++ b/frostpost/weather/world.py
@@ -6,7 +6,7 @@
 from frostpost.hedgerow import events
 from frostpost.hedgerow.state import Bounds, replay
 from frostpost.hedgerow.events import Received, Rewrite, Synced, Tick
-from frostpost.hedgerow.words import Member, Place
+from frostpost.hedgerow.words import Batch, Member, Place
 from frostpost.orchard import core as cores
 
 
@@ -47,8 +47,10 @@
     history: list = []
     sent: int = 0
     trace: list = []
+    ordered: dict = field(default_factory=dict)
+    ops: dict = field(default_factory=dict)
     tap: object = None
-    plants: frozenset = frozenset()
+    trap: bool = False
 
 
 def make(seed, edges=2, storages=3, coresCount=2, bounds=None):
@@ -152,6 +154,9 @@
 
 def send(world, node, target, body):
     world.sent += 1
+    if isinstance(body, Batch) and body.entries:
+        key = (node.place.member, body.id)
+        world.ordered[key] = max(world.ordered.get(key, 0), body.entries[-1].ordinal)
     other = world.nodes.get(target)
     if other is None or (node.name, target) in world.cuts:
         return
