Apply nothing below an Open that is not yet delivered; ready a log once

Cause: (1) a diskless member applied the donor's tentative entries as soon as they were filled in, before the Open that settles them; (2) a storage member that was ready but had not applied up to the base fetched again, and each answer cut its log back to the base, losing the Open it had acknowledged.

Ruled out: the disk model (writes and syncs matched), the length rule (logs had one length).

--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -105,11 +105,14 @@
 def act(hedge, out, entry):
     if entry.index > hedge.applied:
         hedge.waiting[entry.index] = entry
+    hedge.primary.settled = hedge.primary.settled or entry.ordinal == 1
     drain(hedge, out)
 
 
 def drain(hedge, out):
     log, primary = hedge.log, hedge.primary
+    if not primary.settled:
+        return
     if hedge.waiting and hedge.storage and primary.readyAt >= 0:
         first = min(hedge.waiting)
         while hedge.applied + 1 < first and log.start <= hedge.applied < log.length:
@@ -136,7 +139,9 @@
     primary = hedge.primary
     if not primary.able:
         return 0
-    if hedge.storage and primary.readyAt < 0:
+    if hedge.storage:
+        if primary.readyAt >= 0:
+            return 0
         return hedge.log.length + 1 if primary.same else hedge.log.settled + 1
     return hedge.applied + 1 if hedge.applied < primary.base else 0
 
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -114,6 +114,7 @@
     ready: bool = False
     readyAt: int = -1
     same: bool = False
+    settled: bool = False
     opened: bool = False
     openOrdered: bool = False
     fetchMs: int = -(1 << 40)
