Judge real processes from outside while daemons are killed, frozen, cut and restarted

Found: configurations over 1 MiB were turned away (the bound for calls was applied to all bodies); the stand-in callers cut their own streams when ended.

--- a/frostpost/gate/app.py
+++ b/frostpost/gate/app.py
@@ -17,6 +17,10 @@
     retry = faults.retryAfter(fault)
     if retry:
         request.setHeader("retry-after", retry)
+    if isinstance(fault, faults.Leaving):
+        request.setHeader("connection", "close")
+        if request.channel is not None:
+            request.channel.persistent = False
     return faults.body(fault, requestId)
 
 
@@ -90,7 +94,6 @@
 
 
 class Bounded(Request):
-    most = 1 << 20
     mostConfig = 64 << 20
 
     def gotLength(self, length):
@@ -98,16 +101,15 @@
         super().gotLength(0 if self.tooLong else length)
 
     def handleContentChunk(self, data):
-        most = self.mostConfig if b"/v1/config" in self.uri else self.most
         self.took = getattr(self, "took", 0) + len(data)
-        if self.took <= most:
+        if self.took <= self.mostConfig:
             super().handleContentChunk(data)
         else:
             self.tooLong = True
 
     def process(self):
         if getattr(self, "tooLong", False):
-            body = turnAway(self, faults.TooLong(self.most), "")
+            body = turnAway(self, faults.TooLong(self.mostConfig), "")
             self.setHeader("connection", "close")
             self.write(body)
             self.finish()
@@ -140,8 +142,7 @@
         return turnAway(request, faults.Internal(), "")
 
     site = Site(app.resource(), timeout=75)
-    bounded = type("Bounded", (Bounded,), {
-        "most": ctx.settings.doors.bodyBytes, "mostConfig": ctx.settings.doors.configBytes})
+    bounded = type("Bounded", (Bounded,), {"mostConfig": ctx.settings.doors.configBytes})
     site.requestFactory = bounded
     site.displayTracebacks = False
     return site
--- a/frostpost/gate/calls.py
+++ b/frostpost/gate/calls.py
@@ -84,6 +84,9 @@
 
 
 def filterBody(ctx, call):
+    most = ctx.settings.doors.bodyBytes
+    if len(call.raw) > most:
+        return faults.TooLong(most)
     result = parse(call.raw)
     if result.is_error():
         return result.error
--- a/frostpost/orchard/life.py
+++ b/frostpost/orchard/life.py
@@ -16,10 +16,10 @@
 
 
 class Hand:
-    __slots__ = ("ctx", "stop", "status")
+    __slots__ = ("ctx", "stop", "status", "close")
 
     def __init__(self, ctx, stop):
-        self.ctx, self.stop, self.status = ctx, stop, 0
+        self.ctx, self.stop, self.status, self.close = ctx, stop, 0, lambda: None
 
 
 builder = TypeMachineBuilder(Life, Hand)
@@ -40,6 +40,7 @@
     ctx = hand.ctx
     ctx.leaving = True
     say("leaving", flights=ctx.flights)
+    hand.close()
     until(ctx, lambda: ctx.flights == 0, ctx.settings.doors.graceMs).addCallback(
         lambda _: life.emptied())
 
--- a/frostpost/orchard/main.py
+++ b/frostpost/orchard/main.py
@@ -1,9 +1,8 @@
 import sys
-from dataclasses import field
 from typing import Annotated
 
 import cappa
-from msgspec import DecodeError, json
+from msgspec import DecodeError, Struct, json
 
 from . import disk as disks
 from . import settings as checked
@@ -107,7 +106,8 @@
         hand.status = 69
         hand.stop()
 
-    def up(_):
+    def up(port):
+        hand.close = port.stopListening
         loops(ctx)
         ctx.life.started()
 
@@ -124,7 +124,7 @@
 
 
 @cappa.command(name="orchard", help="Run one frostpost daemon from a settings file.")
-class Orchard:
+class Orchard(Struct):
     settings: Annotated[str, cappa.Arg(help="path of the settings file (TOML)")]
     name: Annotated[str | None, cappa.Arg(long=True, help="the daemon's name")] = None
     role: Annotated[str | None, cappa.Arg(long=True, help="edge, core or storage")] = None
@@ -133,7 +133,7 @@
     port: Annotated[int | None, cappa.Arg(long=True, help="port for other daemons")] = None
     httpPort: Annotated[int | None, cappa.Arg(long="--http-port", help="port for callers and operators")] = None
     data: Annotated[str | None, cappa.Arg(long=True, help="data folder of a storage daemon")] = None
-    seeds: Annotated[list[str], cappa.Arg(long="--seed", help="IP:port of another daemon; may be given again")] = field(default_factory=list)
+    seeds: Annotated[list[str], cappa.Arg(long="--seed", help="IP:port of another daemon; may be given again")] = []
     check: Annotated[bool, cappa.Arg(long=True, help="check the settings and stop")] = False
 
 
--- a/frostpost/scarecrow/callers.py
+++ b/frostpost/scarecrow/callers.py
@@ -1,3 +1,4 @@
+import signal
 import sys
 from random import Random
 from typing import Annotated
@@ -26,7 +27,7 @@
 
 
 class Crowd:
-    __slots__ = ("client", "doors", "random", "notes", "serial", "open", "tag", "most")
+    __slots__ = ("client", "doors", "random", "notes", "serial", "open", "tag", "most", "endS")
 
     def __init__(self, doors, seed, notes, tag="p", most=600):
         pool = HTTPConnectionPool(reactor)
@@ -110,11 +111,11 @@
 
 
 def arrivals(crowd, seconds, factor, done):
-    endS = reactor.seconds() + seconds
+    crowd.endS = reactor.seconds() + seconds
     running = []
 
     def arrive(tenant, lane, rate, lookups):
-        if reactor.seconds() >= endS:
+        if reactor.seconds() >= crowd.endS:
             return
         running.append(program(crowd, tenant, lane, lookups))
         reactor.callLater(crowd.random.expovariate(rate * factor), arrive, tenant, lane, rate, lookups)
@@ -124,7 +125,7 @@
                 arrive(tenant, lane, rate, shape["lookups"])
 
     def check():
-        if reactor.seconds() >= endS and (crowd.open == 0 or reactor.seconds() > endS + 40):
+        if reactor.seconds() >= crowd.endS and (crowd.open == 0 or reactor.seconds() > crowd.endS + 40):
             crowd.notes.say("over", stillOpen=crowd.open)
             done()
         else:
@@ -145,6 +146,11 @@
 def main():
     command = cappa.parse(Callers)
     crowd = Crowd(command.doors, command.seed, Notes(command.notes), command.tag)
+
+    def over():
+        crowd.endS = min(crowd.endS, reactor.seconds())
+    reactor.addSystemEventTrigger("after", "startup", lambda: signal.signal(
+        signal.SIGTERM, lambda *_: reactor.callFromThread(over)))
     reactor.callWhenRunning(arrivals, crowd, command.seconds, command.factor, reactor.stop)
     reactor.run()
     return 0
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,19 @@
+import pytest
+
+from frostpost.scarecrow.main import prove
+
+
+@pytest.mark.parametrize("name", ("kill", "allDown", "races"))
+def test_real_processes(name, tmp_path):
+    report = prove(name, "quick", 0.3, 1, str(tmp_path))
+    assert report["breaches"] == []
+    assert report["facts"]["stamped"] == [200] * 4
+    assert report["after"]["verdicts"].get("served", 0) > 20
+    if name == "kill":
+        assert all(r["back"] for r in report["facts"]["restarts"])
+    if name == "allDown":
+        assert report["facts"]["back"]
+    if name == "races":
+        assert all(won == [200, 412] for won in report["facts"]["races"])
+        assert report["facts"]["invalid"] == 422
+        assert report["facts"]["large"][0] == 200
--- /dev/null
+++ b/tests/test_trellis.py
@@ -0,0 +1,87 @@
+import pytest
+
+from frostpost.scarecrow.templates import TEMPLATES, TENANTS
+from frostpost.trellis import shelf as shelves
+from frostpost.trellis.stamp import checkTemplate, checkTenant, patch
+
+
+def faultsOf(result):
+    assert result.is_error()
+    return {f.path for f in result.error.faults}
+
+
+def test_both_deployments_stamp():
+    for name, tenant in TENANTS.items():
+        lanes = checkTenant(name, tenant, TEMPLATES[tenant["template"]])
+        assert lanes.is_ok() and len(lanes.ok) == 5
+    lanes = checkTenant("hlidar", TENANTS["hlidar"], TEMPLATES["clerks"]).ok
+    assert lanes["check"].keepMs == 900000 and lanes["flags"].repeat == "free"
+
+
+@pytest.mark.parametrize("document,path", [
+    ({"template": "clerks", "parameters": {"keepMs": 1}}, "/parameters/keepMs"),
+    ({"template": "clerks", "parameters": {"nope": 1}}, "/parameters/nope"),
+    ({"template": "clerks", "extra": 1}, "/extra"),
+    ({"parameters": {}}, "/template"),
+    ({"template": "clerks", "parameters": {"auditUrgency": "urgent"}}, "/parameters/auditUrgency"),
+])
+def test_tenant_faults_name_their_path(document, path):
+    assert path in faultsOf(checkTenant("t", document, TEMPLATES["clerks"]))
+
+
+@pytest.mark.parametrize("lane,path", [
+    ({"kind": "walk", "pools": ["p"]}, "/lanes/l/kind"),
+    ({"kind": "turn"}, "/lanes/l/pools"),
+    ({"kind": "turn", "pools": ["p"], "limitMs": 0}, "/lanes/l/limitMs"),
+    ({"kind": "turn", "pools": ["p"], "keepMs": {"$param": "absent"}}, "/lanes/l/keepMs"),
+    ({"kind": "lookup", "pools": ["p"], "keyWindowMs": 1000}, "/lanes/l/keyWindowMs"),
+])
+def test_template_faults_name_their_path(lane, path):
+    assert path in faultsOf(checkTemplate({"lanes": {"l": lane}}, []))
+
+
+def test_template_that_breaks_a_tenant_is_turned_away():
+    template = dict(TEMPLATES["clerks"], parameters={})
+    lanes = {n: {k: v for k, v in lane.items() if not isinstance(v, dict)} for n, lane in template["lanes"].items()}
+    template["lanes"] = lanes
+    assert "/tenants/hlidar/parameters/keepMs" in faultsOf(
+        checkTemplate(template, [("hlidar", TENANTS["hlidar"])]))
+
+
+@pytest.mark.parametrize("held,change,after", [
+    ({"a": "b"}, {"a": "c"}, {"a": "c"}),
+    ({"a": "b"}, {"b": "c"}, {"a": "b", "b": "c"}),
+    ({"a": "b", "b": "c"}, {"a": None}, {"b": "c"}),
+    ({"a": ["b"]}, {"a": "c"}, {"a": "c"}),
+    ({"a": {"b": "c"}}, {"a": {"b": "d", "c": None}}, {"a": {"b": "d"}}),
+    ({}, {"a": {"bb": {"ccc": None}}}, {"a": {"bb": {}}}),
+])
+def test_patch_merges_as_rfc_7386(held, change, after):
+    assert patch(held, change) == after
+
+
+def test_shelf_pulls_what_it_lacks_in_pieces():
+    told, asker = shelves.Shelf("a.1", chunk=10), shelves.Shelf("b.2", chunk=10)
+    told, store = shelves.put(told, b"x" * 35)
+    told = shelves.stored(told, store.item, store.body, 0)
+    wire = [("a.1", body) for _, body in shelves.heard(asker, "a.1", told.vector)]
+    pulled, hops = [], 0
+    while wire:
+        hops += 1
+        to, body = wire.pop(0)
+        if isinstance(body, shelves.NewsAsk):
+            wire += [("b.2", b) for _, b in shelves.asked(told, "b.2", body)]
+        elif isinstance(body, shelves.NewsTell):
+            asker, sends, _ = shelves.told(asker, "a.1", body, 0)
+            wire += [("a.1", b) for _, b in sends]
+        elif isinstance(body, shelves.BodyAsk):
+            wire += [("b.2", b) for _, b in shelves.bodyAsked(told, "b.2", body)]
+        else:
+            asker, sends, stores = shelves.bodyPieced(asker, "a.1", body, 0)
+            wire += [("a.1", b) for _, b in sends]
+            pulled += stores
+    assert [s.body for s in pulled] == [b"x" * 35] and hops == 10
+    asker = shelves.stored(asker, pulled[0].item, pulled[0].body, 0)
+    assert asker.vector == told.vector and shelves.heard(asker, "a.1", told.vector) == []
+    asker, gone = shelves.prune(asker, set())
+    assert gone and asker.vector == told.vector
