Change the storage voters by an ordered message; pruner with doctor

Cause: the voters were fixed by the settings, so no storage machine could be emptied, retired or added.

One voter at a time, delivered only in the configuration it was judged in; logs tell of voter changes they hold but have not settled, and a primary needs the majority of both. Ruled out: joint sets of any size (nothing asks for them).

--- a/frostpost/gate/app.py
+++ b/frostpost/gate/app.py
@@ -5,7 +5,7 @@
 
 from frostpost.orchard.context import count, nowMs
 from frostpost.orchard.news import say
-from . import calls, control, faults, reads
+from . import calls, control, faults, reads, voting
 from .lookups import lookup
 from .turns import turn
 
@@ -130,6 +130,7 @@
 
     control.routes(app, ctx, answer, turnAway)
     reads.routes(app, ctx, answer, turnAway)
+    voting.routes(app, ctx, answer, turnAway)
 
     @app.handle_errors(Exception)
     def broken(request, failure):
--- a/frostpost/gate/faults.py
+++ b/frostpost/gate/faults.py
@@ -119,6 +119,11 @@
     retryMs: int = 2000
 
 
+class VotersTurnedAway(Struct, frozen=True, tag="VotersTurnedAway"):
+    text: str
+    status: int = 409
+
+
 class KeyMismatch(Struct, frozen=True, tag="KeyMismatch"):
     text: str = "this key was used with another body"
     status: int = 422
--- a/frostpost/gate/reads.py
+++ b/frostpost/gate/reads.py
@@ -1,3 +1,6 @@
+from shutil import disk_usage
+from time import time
+
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from frostpost.granary.programs import whole
@@ -29,11 +32,25 @@
         "peers": {n: {"heardMs": min(hedge.nowMs - p.heardMs, 1 << 31), "applied": p.applied,
                       "ready": p.ready, "unwell": p.unwell,
                       "honoured": p.news.get("~honoured", 0)} for n, p in hedge.peers.items()},
-        "listMs": nowMs() - ctx.listMs if ctx.listMs else None,
-        "counts": {**hedge.counts, **ctx.counts},
+        "counts": {**hedge.counts, **ctx.counts}, "wallMs": int(time() * 1000),
+        "listSet": bool(ctx.settings.list), "listAgeMs": nowMs() - ctx.listedMs if ctx.listedMs else None,
+        "diskFreePart": freePart(ctx.settings.data), "seeds": ctx.settings.seeds,
+        "places": [placed(p) for p in (hedge.place, *(p.place for p in hedge.peers.values()))],
     }
 
 
+def freePart(folder):
+    if not folder:
+        return None
+    usage = disk_usage(folder)
+    return usage.free / usage.total
+
+
+def placed(place):
+    return {"name": place.member.name, "role": place.role, "cell": place.cell,
+            "inner": f"{place.host}:{place.port}", "http": f"{place.host}:{place.httpPort}"}
+
+
 def runners(ctx):
     granary = ctx.core.granary
     found = []
--- /dev/null
+++ b/frostpost/gate/voting.py
@@ -0,0 +1,72 @@
+from expression import Error, Ok
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.granary.words import VotersSet
+from frostpost.hedgerow.events import SetVoters
+from frostpost.hedgerow.state import majority
+from frostpost.orchard.heart import ask
+from frostpost.orchard.news import say
+from . import calls, faults
+from .control import ready
+
+FEWEST = 3
+
+
+def fulls(ctx):
+    hedge = ctx.core.hedge
+    inside = {m.name for m in hedge.configuration.members}
+    found = {n for n, p in hedge.peers.items() if p.ready and n in inside}
+    return found | ({hedge.name} if hedge.primary.ready else set())
+
+
+def judge(ctx, document):
+    before = ctx.core.granary.voters
+    if set(document) not in ({"add"}, {"remove"}, {"remove", "force"}):
+        return Error(faults.BadBody("/", "give add or remove, one of them"))
+    if "add" in document:
+        name = document["add"]
+        if name in before:
+            return Error(faults.VotersTurnedAway(f"{name} is a voter already"))
+        if name not in fulls(ctx):
+            return Error(faults.VotersTurnedAway(f"{name} holds no full copy yet"))
+        return Ok((*before, name))
+    name = document["remove"]
+    after = tuple(v for v in before if v != name)
+    if after == before:
+        return Error(faults.VotersTurnedAway(f"{name} is no voter"))
+    if not majority(after, fulls(ctx)):
+        return Error(faults.VotersTurnedAway("less than a majority of full copies would be left"))
+    if len(after) < FEWEST and document.get("force") is not True:
+        return Error(faults.VotersTurnedAway(
+            f"with {len(after)} voters the loss of one machine can't be borne; add another first"))
+    return Ok(after)
+
+
+@inlineCallbacks
+def change(ctx, request):
+    fault = ready(ctx)
+    if fault:
+        return Error(fault)
+    request.content.seek(0)
+    parsed = calls.parse(request.content.read())
+    if parsed.is_error():
+        return parsed
+    judged = judge(ctx, parsed.ok)
+    if judged.is_error():
+        return judged
+    before, id = ctx.core.granary.voters, ctx.core.hedge.configuration.id
+    result = yield ask(ctx, SetVoters(id, before, judged.ok), ctx.settings.doors.ackMs)
+    if result.is_error():
+        fault = result.error
+        return Error(faults.ConfigUnknown() if isinstance(fault, faults.Undecided) else fault)
+    if not isinstance(result.ok, VotersSet):
+        return Error(faults.VotersTurnedAway("the members or the voters changed meanwhile"))
+    say("VotersSet", before=list(before), after=list(judged.ok))
+    return Ok({"voters": list(judged.ok)})
+
+
+def routes(app, ctx, answer, turnAway):
+    @app.route("/v1/voters", methods=["POST"])
+    def voters_(request):
+        return change(ctx, request).addCallback(
+            lambda r: turnAway(request, r.error, "") if r.is_error() else answer(request, r.ok))
--- a/frostpost/granary/apply.py
+++ b/frostpost/granary/apply.py
@@ -6,7 +6,7 @@
 from .programs import stale
 from .words import (
     Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Granary, Mark, NotHeld, Op, Open, Release,
-    Reserve, Runners, SetConfig, Settle, StaleConfig, Tick, Unclaim, Verdict,
+    Reserve, Runners, SetConfig, Settle, SetVoters, StaleConfig, Tick, Unclaim, Verdict, VotersSet,
 )
 
 ABSENT_MS = 600000
@@ -28,7 +28,8 @@
 def act(granary, entry, op) -> Verdict:
     match op:
         case Open(members, cores, voters):
-            granary.members, granary.cores, granary.voters = members, cores, voters
+            granary.members, granary.cores = members, cores
+            granary.voters = granary.voters or voters
             programs.orphan(granary)
             keys.orphan(granary)
             duties.vacate(granary)
@@ -53,6 +54,8 @@
             return drain(granary, entry, op)
         case SetConfig():
             return config(granary, entry, op)
+        case SetVoters():
+            return voters_(granary, entry, op)
         case Ballot():
             return duties.ballot(granary, entry, op)
 
@@ -99,6 +102,14 @@
     return Done(entry.index)
 
 
+def voters_(granary, entry, op):
+    one = len(set(op.before) ^ set(op.after)) == 1
+    if op.before != granary.voters or op.configuration != entry.configuration or not one:
+        return NotHeld("voters")
+    granary.voters = op.after
+    return VotersSet(op.after)
+
+
 def config(granary, entry, op):
     mark = granary.configs.get(op.path)
     held = mark.version if mark else 0
--- a/frostpost/granary/words.py
+++ b/frostpost/granary/words.py
@@ -1,6 +1,6 @@
 from msgspec import Struct
 
-from frostpost.hedgerow.events import Open
+from frostpost.hedgerow.events import Open, SetVoters
 from frostpost.hedgerow.words import Member
 
 
@@ -131,7 +131,7 @@
 
 Op = (
     Open | Tick | Reserve | Settle | Release | ClaimKey | Finish | Unclaim | Runners | Drain
-    | SetConfig | Ballot
+    | SetConfig | Ballot | SetVoters
 )
 
 
@@ -160,6 +160,10 @@
     index: int
 
 
+class VotersSet(Struct, array_like=True, frozen=True, tag="votersSet"):
+    voters: tuple[str, ...]
+
+
 class BudgetSpent(Struct, array_like=True, frozen=True, tag="BudgetSpent"):
     budget: int
     spent: int
@@ -192,7 +196,7 @@
 
 Verdict = (
     Done | Reserved | Won | Shared | ConfigSet | BudgetSpent | TurnOpen | NoRunner | StaleConfig
-    | KeyReused | NotHeld | Fenced
+    | KeyReused | NotHeld | Fenced | VotersSet
 )
 
 
--- a/frostpost/hedgerow/events.py
+++ b/frostpost/hedgerow/events.py
@@ -3,6 +3,12 @@
 from .words import Configuration, ConfigurationId, Entry, Member, Message, Place
 
 
+class SetVoters(Struct, frozen=True, array_like=True, tag="voters"):
+    configuration: ConfigurationId
+    before: tuple[str, ...]
+    after: tuple[str, ...]
+
+
 class Installed(Struct, frozen=True, array_like=True, tag=1):
     id: ConfigurationId
     base: int
--- a/frostpost/hedgerow/recovery.py
+++ b/frostpost/hedgerow/recovery.py
@@ -1,6 +1,6 @@
 from .ordering import act, advance
 from .settling import judge, prepare
-from .state import Order, count, majority, names, sequencer
+from .state import Order, count, majorities, names, sequencer
 from .events import Changed, Delivered
 from .words import Complete, Configuration, Rebroadcast
 
@@ -105,7 +105,7 @@
         if acting:
             act(hedge, out, entry)
     out.answers.append(Changed(Configuration(hedge.configuration.id, recovery.group), True))
-    keeping = acting and majority(hedge.primary.voters, fullVoters(hedge, group))
+    keeping = acting and majorities(hedge.primary, fullVoters(hedge, group))
     gap = False
     for ordinal in sorted(o for o in order.held if o > order.delivered):
         if ordinal != order.delivered + 1:
--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -2,7 +2,7 @@
 
 from msgspec import msgpack
 
-from .state import NOWHERE, Primary, count, majority, names, role, sequencer, write
+from .state import NOWHERE, Primary, count, majorities, names, role, sequencer, write
 from .events import Appended, Applied, Filled, Installed, Open, Snapshot, SnapshotAsked
 from .words import Entry, Fetch, Fill, Ready
 
@@ -34,8 +34,10 @@
     donor = max(memories, key=lambda n: (memories[n].primary, lengths[n], n))
     best, base = memories[donor], lengths[donor]
     untouched = base <= 1 and all(v in plan for v in best.voters)
-    if majority(best.voters, memories) or untouched:
-        return Primary(able=True, donor=donor, base=base, voters=best.voters)
+    found = Primary(donor=donor, base=base, voters=best.voters, coming=best.coming)
+    if majorities(found, memories) or untouched:
+        found.able = True
+        return found
     return Primary(voters=best.voters)
 
 
@@ -93,7 +95,7 @@
     if sequencer(hedge) != hedge.name:
         return
     primary.readies.add(frm)
-    if not primary.openOrdered and majority(primary.voters, primary.readies):
+    if not primary.openOrdered and majorities(primary, primary.readies):
         primary.openOrdered = True
         cores = tuple(n for n in names(hedge.configuration) if role(hedge, n) == "core")
         payload = encode(Open(hedge.configuration.members, cores, primary.voters))
@@ -130,7 +132,6 @@
             del hedge.outbox[number]
     if entry.ordinal == 1 and entry.configuration == hedge.configuration.id:
         hedge.primary.opened = True
-        hedge.voters = hedge.primary.voters
         hedge.order.floor = min(hedge.outbox, default=hedge.number + 1)
         hedge.submitted = hedge.order.floor - 1
 
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -1,8 +1,10 @@
-from msgspec import Struct, field
+from msgspec import Struct, field, msgpack
 
-from .events import Appended, Booted, Installed, Out, Snapshot
+from .events import Appended, Booted, Installed, Out, SetVoters, Snapshot
 from .words import Configuration, ConfigurationId, Entry, Exchange, Member, Memory, Place
 
+decodeVoters = msgpack.Decoder(SetVoters).decode
+VOTERS_HEAD = msgpack.encode(SetVoters(ConfigurationId(0, "", 0), (), ()))[:8]
 RANK = {"storage": 0, "core": 1, "edge": 2}
 NOWHERE = ConfigurationId(0, "", 0)
 
@@ -110,6 +112,7 @@
     donor: str = ""
     base: int = 0
     voters: tuple[str, ...] = ()
+    coming: tuple[tuple[str, ...], ...] = ()
     readies: set[str] = set()
     ready: bool = False
     readyAt: int = -1
@@ -201,6 +204,10 @@
     return len(voters) > 0 and sum(v in present for v in voters) * 2 > len(voters)
 
 
+def majorities(primary, present):
+    return all(majority(v, present) for v in (primary.voters, *primary.coming))
+
+
 def begin(place, bounds, seeds, voters, log, nowMs):
     storage = place.role == "storage"
     single = ConfigurationId(log.epoch + 1, place.member.name, place.member.boot)
@@ -242,4 +249,9 @@
 def memory(log):
     if log.primary == NOWHERE:
         return None
-    return Memory(log.primary, log.length, log.voters)
+    return Memory(log.primary, log.length, log.voters, coming(log))
+
+
+def coming(log):
+    tail = log.entries[max(0, log.settled - log.start):]
+    return tuple(decodeVoters(e.payload).after for e in tail if e.payload[:8] == VOTERS_HEAD)
--- a/frostpost/hedgerow/words.py
+++ b/frostpost/hedgerow/words.py
@@ -32,6 +32,7 @@
     primary: ConfigurationId
     length: int
     voters: tuple[str, ...]
+    coming: tuple[tuple[str, ...], ...]
 
 
 class Place(Struct, frozen=True, array_like=True):
--- a/frostpost/orchard/context.py
+++ b/frostpost/orchard/context.py
@@ -8,7 +8,7 @@
         "links", "disk", "shelf", "lanes", "honoured", "statuses", "flights", "urgencies",
         "leaving", "keyWaiters", "indexWaiters", "counts", "bodies", "tasks", "hook", "agent",
         "retries", "life", "listMs", "tickMs", "documents", "startedMs", "goes", "stampedFor",
-        "corrupt", "prunedMs", "registry", "needConfig", "stamping",
+        "corrupt", "prunedMs", "registry", "needConfig", "stamping", "listedMs",
     )
 
     def __init__(self, settings, reactor, place):
@@ -20,7 +20,7 @@
         self.urgencies, self.keyWaiters, self.counts, self.hook = {}, {}, {}, {}
         self.documents, self.goes, self.indexWaiters, self.tasks = {}, {}, [], []
         self.honoured, self.flights, self.retries = 0, 0, 10.0
-        self.needConfig, self.stamping = 0, False
+        self.needConfig, self.stamping, self.listedMs = 0, False, 0
         self.listMs, self.tickMs, self.prunedMs = 0, 0, 0
         self.startedMs, self.stampedFor, self.corrupt, self.registry = nowMs(), -1, None, None
 
--- a/frostpost/orchard/core.py
+++ b/frostpost/orchard/core.py
@@ -34,6 +34,7 @@
     for entry in log.entries[:max(0, log.settled - log.start)]:
         granary, _ = apply(granary, entry)
     log.snapshot = b""
+    log.voters = granary.voters or log.voters
     return Core(hedge, granary), out
 
 
@@ -46,6 +47,7 @@
             out.sends += more.sends
             out.writes += more.writes
             told += [a for a in settleAnswers(core, more) if not isinstance(a, (Numbered, Overfull))]
+    follow(core)
     rewrite(core, out)
     return core, Out(out.sends, out.writes, told)
 
@@ -70,6 +72,16 @@
     return told
 
 
+def follow(core):
+    voters, hedge = core.granary.voters, core.hedge
+    if voters and voters != hedge.voters:
+        hedge.voters = hedge.log.voters = voters
+    if hedge.primary.opened and hedge.primary.voters != voters:
+        hedge.primary.voters, hedge.primary.coming = voters, ()
+    elif hedge.primary.opened and hedge.primary.coming:
+        hedge.primary.coming = ()
+
+
 def forgotten(core):
     boot, number = core.granary.sessions.get(core.hedge.name, (0, 0))
     if boot != core.hedge.me.boot:
--- /dev/null
+++ b/frostpost/pruner/asking.py
@@ -0,0 +1,56 @@
+import sys
+import urllib.error
+import urllib.request
+
+from expression import Error, Ok
+from msgspec import DecodeError, Struct, json
+
+DONE, FOUND, UNREACHED, TURNED_AWAY, MISUSED = 0, 1, 2, 3, 64
+
+
+class Door(Struct, frozen=True):
+    address: str
+
+
+class Unreached(Struct, frozen=True):
+    door: str
+    why: str
+
+
+class TurnedAway(Struct, frozen=True):
+    status: int
+    fault: dict
+
+
+def ask(door, path, method="GET", document=None, headers=None, waitS=30):
+    data = None if document is None else json.encode(document)
+    request = urllib.request.Request(
+        f"http://{door.address}{path}", data=data, method=method,
+        headers={"content-type": "application/json", **(headers or {})})
+    try:
+        with urllib.request.urlopen(request, timeout=waitS) as response:
+            return Ok(json.decode(response.read()))
+    except urllib.error.HTTPError as fault:
+        try:
+            said = json.decode(fault.read())["fault"]
+        except (DecodeError, KeyError, TypeError):
+            said = {"type": "Unreadable", "text": f"status {fault.code}"}
+        return Error(TurnedAway(fault.code, said))
+    except (OSError, DecodeError) as fault:
+        return Error(Unreached(door.address, str(getattr(fault, "reason", fault))))
+
+
+def say(command, document, text):
+    print(json.format(json.encode(document), indent=2).decode() if command.json else text)
+
+
+def fail(command, error):
+    if isinstance(error, Unreached):
+        print(f"Unreached: {error.door}: {error.why}", file=sys.stderr)
+        return UNREACHED
+    fault = error.fault
+    print(f"{fault.get('type')}: {fault.get('text', '')}", file=sys.stderr)
+    for one in fault.get("faults", ()):
+        path, text = (one["path"], one["text"]) if isinstance(one, dict) else one
+        print(f"  {path}: {text}", file=sys.stderr)
+    return TURNED_AWAY
--- /dev/null
+++ b/frostpost/pruner/configs.py
@@ -0,0 +1,90 @@
+import os
+import sys
+
+from msgspec import DecodeError, json
+
+from .asking import DONE, FOUND, MISUSED, TurnedAway, ask, fail, say
+
+
+def declared(folder):
+    found, faults = {}, []
+    for kind in ("templates", "tenants"):
+        base = os.path.join(folder, kind)
+        for name in sorted(os.listdir(base)) if os.path.isdir(base) else ():
+            if not name.endswith(".json"):
+                continue
+            path = os.path.join(base, name)
+            with open(path, "rb") as file:
+                try:
+                    found[f"{kind}/{name[:-5]}"] = json.decode(file.read())
+                except DecodeError as fault:
+                    faults.append(f"{path}: {fault}")
+    return found, faults
+
+
+def changes(door, found):
+    plan = []
+    for path, document in found.items():
+        held = ask(door, f"/v1/config/{path}")
+        if held.is_ok():
+            if held.ok["document"] != document:
+                plan.append((path, document, held.ok["version"]))
+        elif isinstance(held.error, TurnedAway) and held.error.status == 404:
+            plan.append((path, document, 0))
+        else:
+            return plan, held.error
+    return plan, None
+
+
+def read(command):
+    found, faults = declared(command.folder)
+    if faults or not found:
+        for fault in faults or [f"{command.folder}: no templates/*.json or tenants/*.json"]:
+            print(f"BadDeclaration: {fault}", file=sys.stderr)
+        return None
+    return found
+
+
+def diff(command, door):
+    found = read(command)
+    if found is None:
+        return MISUSED
+    plan, error = changes(door, found)
+    if error is not None:
+        return fail(command, error)
+    rows = [{"path": p, "version": v, "change": "new" if v == 0 else "amended"} for p, _, v in plan]
+    say(command, rows, "\n".join(f"{r['path']}: {r['change']}" for r in rows) or "nothing differs")
+    return FOUND if rows else DONE
+
+
+def apply(command, door):
+    found = read(command)
+    if found is None:
+        return MISUSED
+    plan, error = changes(door, found)
+    if error is not None:
+        return fail(command, error)
+    rows = []
+    for path, document, version in plan:
+        result = ask(door, f"/v1/config/{path}", "PUT", document, {"if-match": str(version)})
+        if result.is_error():
+            say(command, rows, "\n".join(f"{r['path']}: version {r['version']}" for r in rows))
+            print(f"stopped at {path}", file=sys.stderr)
+            return fail(command, result.error)
+        rows.append({"path": path, "version": result.ok["version"]})
+    say(command, rows, "\n".join(f"{r['path']}: version {r['version']}" for r in rows) or "nothing to do")
+    return DONE
+
+
+def get(command, door):
+    result = ask(door, f"/v1/config/{command.path}" if command.path else "/v1/config")
+    if result.is_error():
+        return fail(command, result.error)
+    if command.path:
+        text = f"{command.path} version {result.ok['version']}\n" + json.format(
+            json.encode(result.ok["document"]), indent=2).decode()
+    else:
+        text = "\n".join(f"{p} version {c['version']} ({c['size']} bytes)"
+                         for p, c in sorted(result.ok["configs"].items()))
+    say(command, result.ok, text)
+    return DONE
--- /dev/null
+++ b/frostpost/pruner/main.py
@@ -0,0 +1,102 @@
+import sys
+from typing import Annotated
+
+import cappa
+from msgspec import Struct
+
+from . import configs, doctor, sights
+from .asking import Door
+
+DOOR = Annotated[str, cappa.Arg(long="--door", help="IP:port of any daemon", default=cappa.Env("FROSTPOST_DOOR"))]
+TEXT = Annotated[bool, cappa.Arg(long="--json", help="print JSON instead of text")]
+
+
+@cappa.command(name="apply", help="Bring the directory's declarations into effect; what is the same is left alone.")
+class Apply(Struct, kw_only=True):
+    folder: Annotated[str, cappa.Arg(help="folder with templates/*.json and tenants/*.json")]
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="diff", help="Show what apply would change; exit status 1 if anything.")
+class Diff(Struct, kw_only=True):
+    folder: Annotated[str, cappa.Arg(help="folder with templates/*.json and tenants/*.json")]
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="get", help="Print one configuration, or the list of all.")
+class Get(Struct, kw_only=True):
+    path: Annotated[str, cappa.Arg(help="templates/NAME or tenants/NAME")] = ""
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="drain", help="Mark a runner as leaving, or as staying.")
+class Drain(Struct, kw_only=True):
+    runner: Annotated[str, cappa.Arg(help="the runner's name")]
+    stay: Annotated[bool, cappa.Arg(long=True, help="take the mark away")] = False
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="status", help="Print one daemon's status.")
+class Status(Struct, kw_only=True):
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="members", help="Print the daemons that this one knows, and what each has reached.")
+class Members(Struct, kw_only=True):
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="runners", help="Print the runners with load and drain marks.")
+class Runners(Struct, kw_only=True):
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="explain", help="Print why a runner would be selected for a lane.")
+class Explain(Struct, kw_only=True):
+    tenant: str
+    lane: str
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="voters", help="Print the storage voters, or change them.")
+class Voters(Struct, kw_only=True):
+    add: Annotated[str, cappa.Arg(long=True, help="take this storage daemon in as a voter")] = ""
+    remove: Annotated[str, cappa.Arg(long=True, help="empty this storage daemon: it votes no more")] = ""
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="doctor", help="Look for common faults; exit status 1 if any is found.")
+class Doctor(Struct, kw_only=True):
+    door: DOOR
+    json: TEXT = False
+
+
+@cappa.command(name="pruner", help="The operators' command for frostpost.")
+class Pruner(Struct):
+    command: cappa.Subcommands[
+        Apply | Diff | Get | Drain | Status | Members | Runners | Explain | Voters | Doctor]
+
+
+ACTS = {
+    Apply: configs.apply, Diff: configs.diff, Get: configs.get, Drain: sights.drain,
+    Status: sights.status, Members: sights.members, Runners: sights.runners,
+    Explain: sights.explain, Voters: sights.voters, Doctor: doctor.run,
+}
+
+
+def main():
+    command = cappa.parse(Pruner).command
+    return ACTS[type(command)](command, Door(command.door))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/frostpost/tending/listing.py
+++ b/frostpost/tending/listing.py
@@ -43,6 +43,7 @@
     except Exception as fault:
         count(ctx, f"listFault/{type(fault).__name__}")
         return
+    ctx.listedMs = nowMs()
     entries = tuple(sorted(
         (Runner(r.name, r.instance, r.host, r.port, r.pool, r.cell, r.room) for r in page.runners),
         key=lambda r: r.name))
--- a/frostpost/weather/main.py
+++ b/frostpost/weather/main.py
@@ -11,14 +11,14 @@
 from .play import play
 from .storm import FAULTS
 
-SHAPES = {"quick": (2, 3, 2), "full": (8, 3, 5), "five": (3, 5, 3)}
+SHAPES = {"quick": (2, 3, 2), "full": (8, 3, 5), "voters": (2, 5, 2)}
 
 
 def one(job):
     seed, shape, kinds, gapMs, plant = job
     edges, storages, cores = SHAPES[shape]
     with planted(plant):
-        _, report = play(seed, edges, storages, cores, kinds or None, gapMs=gapMs)
+        _, report = play(seed, edges, storages, cores, kinds or None, gapMs=gapMs, voters=3)
     return report
 
 
--- a/frostpost/weather/play.py
+++ b/frostpost/weather/play.py
@@ -29,8 +29,8 @@
 
 
 def play(seed, edges=2, storages=3, cores=2, kinds=None, stormMs=STORM_MS, bounds=None, prepare=None,
-         gapMs=2500):
-    world = worlds.make(seed, edges, storages, cores, bounds)
+         gapMs=2500, voters=0):
+    world = worlds.make(seed, edges, storages, cores, bounds, voters)
     random = Random(seed * 7919 + 1)
     state = Work(random, untilMs=stormMs + 3000)
     world.tap = tap(state)
--- a/frostpost/weather/storm.py
+++ b/frostpost/weather/storm.py
@@ -8,7 +8,8 @@
     ClaimKey, Drain, Finish, Release, Reserve, Reserved, Runner, Runners, SetConfig, Settle, Tick,
     Unclaim, Won,
 )
-from frostpost.hedgerow.events import Asked
+from frostpost.hedgerow.events import Asked, SetVoters
+from frostpost.hedgerow.state import majority
 from frostpost.orchard.core import Decided, leaseOk
 from . import world as worlds
 from .checks import Broken
@@ -68,10 +69,27 @@
         mark = granary.configs.get("templates/t")
         ask(world, node.name, SetConfig(
             "templates/t", str(state.asked), 1, mark.version if mark else 0, me.name, state.asked, ()))
+    elif kind < 0.97:
+        revote(world, node, random)
     else:
         ask(world, node.name, Drain(f"r{random.randrange(4)}", random.random() < 0.3))
 
 
+def revote(world, node, random):
+    hedge, before = node.core.hedge, node.core.granary.voters
+    full = {n for n, p in hedge.peers.items() if p.ready and p.configuration == hedge.configuration.id}
+    spare = sorted(full - set(before))
+    if spare and len(before) < 5 and random.random() < 0.6:
+        after = (*before, random.choice(spare))
+    elif len(before) > 3:
+        gone = random.choice(before)
+        after = tuple(v for v in before if v != gone)
+    else:
+        return
+    if majority(after, full | ({node.name} if hedge.primary.ready else set())):
+        ask(world, node.name, SetVoters(hedge.configuration.id, before, after))
+
+
 def tap(state):
     def heard(world, node, answer):
         if not isinstance(answer, Decided):
@@ -164,14 +182,14 @@
 
 
 def votersDown(world):
-    for name in world.voters:
+    for name in storages(world):
         worlds.kill(world, name, True)
         worlds.at(world, 100 + 10 * len(name), "call", revive, name)
 
 
 def powerAfterAck(world, random):
     world.trap = True
-    for name in world.voters:
+    for name in storages(world):
         world.nodes[name].disk.delayMs = 40
         worlds.at(world, 1500, "call", quickDisk, name)
 
@@ -214,7 +232,7 @@
 
 
 def slowDisk(world, random):
-    name = random.choice(world.voters)
+    name = random.choice(storages(world))
     world.nodes[name].disk.delayMs = random.choice([50, 400, 1500])
     worlds.at(world, random.uniform(200, 2500), "call", quickDisk, name)
 
@@ -223,10 +241,14 @@
     world.nodes[name].disk.delayMs = 3
 
 
+def storages(world):
+    return [n.name for n in world.nodes.values() if n.role == "storage"]
+
+
 def loseDisk(world, random):
-    full = [n for n in world.voters if world.nodes[n].core is not None
+    full = [n for n in storages(world) if world.nodes[n].core is not None
             and world.nodes[n].core.hedge.primary.ready and world.nodes[n].core.hedge.primary.opened]
-    if len(full) < len(world.voters):
+    if len(full) < len(storages(world)):
         return
     name = random.choice(full)
     worlds.kill(world, name, True)
--- a/frostpost/weather/world.py
+++ b/frostpost/weather/world.py
@@ -53,12 +53,12 @@
     trap: bool = False
 
 
-def make(seed, edges=2, storages=3, coresCount=2, bounds=None):
+def make(seed, edges=2, storages=3, coresCount=2, bounds=None, voters=0):
     nodes = {}
     for role, letter, many in (("storage", "s", storages), ("core", "c", coresCount), ("edge", "e", edges)):
         for i in range(many):
             nodes[f"{letter}{i + 1}"] = Node(f"{letter}{i + 1}", role, "abc"[i % 3])
-    voters = tuple(n for n in nodes if n[0] == "s")
+    voters = tuple(n for n in nodes if n[0] == "s")[:voters or storages]
     world = World(seed, Random(seed), bounds or Bounds(), nodes, voters)
     for name in nodes:
         start(world, name)
