--- a/frostpost/pruner/sights.py
+++ b/frostpost/pruner/sights.py
@@ -54,7 +54,7 @@
                  lambda said: "\n".join(
                      f"{r['runner']:12} "
                      f"{r['total']:8} " + (", ".join(r["vetoes"]) or str(r["scores"]))
-                     for r in sorted(said["runners"], key=lambda r: -r["total"])))
+                     for r in sorted(said["runners"], key=lambda r: (bool(r["vetoes"]), -r["total"]))))
 
 
 def voters(command, door):
