Take cron-like calendars for tenants' parameters, fired once by the duty holder

A calendar's change and its mark are one ordered message under the duty's fence, so a stale holder can't fire and a gap is caught up by the last due time of each calendar only.

Ruled out: a mark in the document (a lost holder could fire twice), local timers in every daemon (no order between them).

--- a/frostpost/gate/control.py
+++ b/frostpost/gate/control.py
@@ -4,7 +4,6 @@
 from twisted.internet.threads import deferToThread
 
 from frostpost.granary.words import ConfigSet, Done, Drain, NotHeld, SetConfig, StaleConfig
-from frostpost.hedgerow.state import majority
 from frostpost.orchard.context import nowMs
 from frostpost.orchard.core import leaseOk
 from frostpost.orchard.heart import ask
@@ -93,14 +92,7 @@
 def order(ctx, path, body, version, bases):
     doors = ctx.settings.doors
     item = yield shelves.put(ctx, body)
-
-    def spread():
-        holders = {n for n, p in ctx.core.hedge.peers.items()
-                   if p.news.get(item.source, 0) >= item.number}
-        if ctx.shelf.vector.get(item.source, 0) >= item.number:
-            holders.add(ctx.place.member.name)
-        return majority(ctx.core.granary.voters, holders)
-    if not (yield until(ctx, spread, doors.ackMs)):
+    if not (yield shelves.spread(ctx, item)):
         return Error(faults.Undecided())
     result = yield ask(ctx, SetConfig(
         path, item.digest, item.size, version, item.source, item.number, bases), doors.ackMs)
--- a/frostpost/granary/apply.py
+++ b/frostpost/granary/apply.py
@@ -5,7 +5,7 @@
 from . import duties, keys, programs
 from .programs import stale
 from .words import (
-    Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Granary, Mark, NotHeld, Op, Open, Release,
+    Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Fire, Granary, Mark, NotHeld, Op, Open, Release,
     Reserve, Runners, SetConfig, Settle, SetVoters, StaleConfig, Tick, Unclaim, Verdict, VotersSet,
 )
 
@@ -54,6 +54,8 @@
             return drain(granary, entry, op)
         case SetConfig():
             return config(granary, entry, op)
+        case Fire():
+            return fire(granary, entry, op)
         case SetVoters():
             return voters_(granary, entry, op)
         case Ballot():
@@ -102,6 +104,18 @@
     return Done(entry.index)
 
 
+def fire(granary, entry, op):
+    fault = duties.fenced(granary, "calendars", entry, op.fence)
+    if fault:
+        return fault
+    if op.atS <= granary.fired.get(op.path, 0):
+        return NotHeld("calendar")
+    said = Done(entry.index) if op.change is None else config(granary, entry, op.change)
+    if not isinstance(said, StaleConfig):
+        granary.fired[op.path] = op.atS
+    return said
+
+
 def voters_(granary, entry, op):
     one = len(set(op.before) ^ set(op.after)) == 1
     if op.before != granary.voters or op.configuration != entry.configuration or not one:
--- a/frostpost/granary/words.py
+++ b/frostpost/granary/words.py
@@ -123,6 +123,13 @@
     bases: tuple[tuple[str, int], ...]
 
 
+class Fire(Struct, array_like=True, frozen=True, tag="fire"):
+    fence: int
+    path: str
+    atS: int
+    change: SetConfig | None
+
+
 class Ballot(Struct, array_like=True, frozen=True, tag="ballot"):
     duty: str
     round: int
@@ -131,7 +138,7 @@
 
 Op = (
     Open | Tick | Reserve | Settle | Release | ClaimKey | Finish | Unclaim | Runners | Drain
-    | SetConfig | Ballot | SetVoters
+    | SetConfig | Fire | Ballot | SetVoters
 )
 
 
@@ -217,3 +224,4 @@
     configIndex: int = 0
     duties: dict[str, Duty] = {}
     expiries: list[tuple[int, str, str]] = []
+    fired: dict[str, int] = {}
--- a/frostpost/orchard/main.py
+++ b/frostpost/orchard/main.py
@@ -30,6 +30,7 @@
 def loops(ctx):
     from twisted.internet.task import LoopingCall
 
+    from frostpost.tending.calendars import calendars
     from frostpost.tending.listing import list_, tickLedger
     from frostpost.tending.runners import pollAll
     from frostpost.tending.shelves import honour, tidy
@@ -37,7 +38,7 @@
     jobs = (
         (beat, TICK_MS / 1000), (lambda c: c.disk.watch(), 0.1), (readHooks, 0.1),
         (pollAll, tending.loadMs / 1000), (list_, tending.listMs / 4000),
-        (tickLedger, tending.tickMs / 1000), (honour, 0.1), (tidy, 30.0),
+        (tickLedger, tending.tickMs / 1000), (calendars, tending.calendarMs / 1000), (honour, 0.1), (tidy, 30.0),
     )
     for job, everyS in jobs:
         loop = LoopingCall(job, ctx)
--- a/frostpost/orchard/settings.py
+++ b/frostpost/orchard/settings.py
@@ -16,6 +16,7 @@
     loadMs: int = 500
     listMs: int = 1000
     tickMs: int = 1000
+    calendarMs: int = 1000
 
 
 class Doors(Struct, frozen=True, forbid_unknown_fields=True):
--- a/frostpost/tending/shelves.py
+++ b/frostpost/tending/shelves.py
@@ -3,10 +3,12 @@
 from twisted.internet.threads import deferToThread
 
 from frostpost.furrow import disk as furrows
+from frostpost.hedgerow.state import majority
 from frostpost.hedgerow.words import BodyAsk, BodyPiece, NewsAsk, NewsTell
 from frostpost.orchard.context import nowMs
 from frostpost.orchard.heart import tick
 from frostpost.orchard.news import say
+from frostpost.orchard.waiting import until
 from frostpost.trellis import shelf as shelves
 from frostpost.trellis.stamp import stamp
 
@@ -103,6 +105,16 @@
     return answer
 
 
+def spread(ctx, item):
+    def held():
+        holders = {n for n, p in ctx.core.hedge.peers.items()
+                   if p.news.get(item.source, 0) >= item.number}
+        if ctx.shelf.vector.get(item.source, 0) >= item.number:
+            holders.add(ctx.place.member.name)
+        return majority(ctx.core.granary.voters, holders)
+    return until(ctx, held, ctx.settings.doors.ackMs)
+
+
 def received(ctx, frm, body):
     match body:
         case NewsAsk():
--- a/frostpost/trellis/shapes.py
+++ b/frostpost/trellis/shapes.py
@@ -1,6 +1,7 @@
 import re
 
 from cerberus import Validator
+from croniter import croniter
 from expression import Error, Ok
 from msgspec import Struct
 
@@ -21,6 +22,11 @@
     return {"anyof": [rule, PARAM]}
 
 
+def cron(field, value, error):
+    if not isinstance(value, str) or len(value.split()) != 5 or not croniter.is_valid(value):
+        error(field, "is no cron expression of five fields")
+
+
 def whole(low, high):
     return {"type": "integer", "min": low, "max": high}
 
@@ -52,6 +58,11 @@
     "template": {"type": "string", "required": True, "regex": WORD.pattern},
     "parameters": {"type": "dict", "keysrules": {"type": "string", "regex": WORD.pattern},
                    "valuesrules": {"type": ["integer", "string"]}},
+    "calendars": {"type": "list", "maxlength": 50, "schema": {"type": "dict", "schema": {
+        "cron": {"type": "string", "required": True, "check_with": cron},
+        "set": {"type": "dict", "required": True, "minlength": 1,
+                "keysrules": {"type": "string", "regex": WORD.pattern},
+                "valuesrules": {"type": ["integer", "string"]}}}}},
     "notes": {"type": "dict"},
 }
 SHAPES = {"templates": TEMPLATE, "tenants": TENANT}
--- a/frostpost/trellis/stamp.py
+++ b/frostpost/trellis/stamp.py
@@ -1,8 +1,8 @@
+from cerberus import Validator
 from expression import Error, Ok
 from msgspec import Struct
 
 from .shapes import DEFAULTS, LANE, ConfigInvalid, Fault, check
-from cerberus import Validator
 
 
 class Lane(Struct, frozen=True):
@@ -84,6 +84,12 @@
     def withTemplate(document):
         if template is None:
             return Error(ConfigInvalid((Fault("/template", "no such template"),)))
+        for n, calendar in enumerate(document.get("calendars", ())):
+            amended = {**document, "parameters": {**document.get("parameters", {}), **calendar["set"]}}
+            stamped = stamp(name, template, amended)
+            if stamped.is_error():
+                return Error(ConfigInvalid(tuple(
+                    Fault(f"/calendars/{n}{f.path}", f.text) for f in stamped.error.faults)))
         return stamp(name, template, document)
     return check("tenants", tenant).bind(withTemplate)
 
@@ -92,7 +98,7 @@
     def withTenants(document):
         faults = []
         for name, tenant in [("", {}), *tenants]:
-            stamped = stamp(name, document, tenant)
+            stamped = checkTenant(name, tenant, document) if name else stamp(name, document, tenant)
             if stamped.is_error():
                 where = f"/tenants/{name}" if name else ""
                 faults += [Fault(where + f.path, f.text) for f in stamped.error.faults]
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,148 @@
+from msgspec import msgpack
+from pytest import fixture
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from frostpost.granary.apply import apply, decodeState
+from frostpost.granary.apply import encode as encodeState
+from frostpost.granary.programs import line
+from frostpost.granary.words import (
+    Ballot, ClaimKey, Drain, Finish, Granary, Reserve, Reserved, Runner, SetConfig, Settle, Shared,
+    Tick,
+)
+from frostpost.hedgerow.events import Open
+from frostpost.hedgerow.words import ConfigurationId, Entry, Member
+
+scenarios("features/ledger.feature")
+ID = ConfigurationId(1, "s1", 1)
+
+
+class Table:
+    def __init__(self):
+        self.granary, self.verdicts, self.number, self.last, self.fence = Granary(), [], {}, None, {}
+
+    def deliver(self, sender, op, quiet=False):
+        self.number[sender] = self.number.get(sender, 0) + 1
+        number = 0 if isinstance(op, Open) else self.number[sender]
+        entry = Entry(ID, self.granary.index + 1, self.granary.index + 1, Member(sender, 1), number,
+                      msgpack.encode(op))
+        self.last = entry
+        self.act(entry, quiet)
+
+    def act(self, entry, quiet=False):
+        self.granary = decodeState(encodeState(self.granary))
+        self.granary, verdict = apply(self.granary, entry)
+        if not quiet:
+            self.verdicts.append(verdict)
+
+    def open(self, names, quiet):
+        members = tuple(Member(n, 1) for n in names)
+        self.deliver("c1", Open(members, tuple(n for n in names if n[0] == "c"), ("s1",)), quiet)
+
+
+@fixture
+def table():
+    return Table()
+
+
+@given("members c1, c2, e1 and e2")
+def members(table):
+    table.open(["c1", "c2", "e1", "e2"], True)
+
+
+@given("runners r1 and r2 with room for 1 each")
+def runners(table):
+    for n in ("r1", "r2"):
+        table.granary.runners[n] = Runner(n, "i", "127.0.0.1", 1, "pool", "a", 1)
+
+
+@when(parsers.parse("{who} reserves {amount:d} of {budget:d} for {program} on r1 or r2"))
+def reserves(table, who, amount, budget, program):
+    table.deliver(who, Reserve(program, amount, budget, 60000, ("pool",), (("r1", "i"), ("r2", "i")), ()))
+
+
+@when(parsers.parse("{who} settles it with {used:d}"))
+def settles(table, who, used):
+    index = next(v.index for v in reversed(table.verdicts) if isinstance(v, Reserved))
+    table.deliver(who, Settle(index, used, line("in", "out")))
+
+
+@when(parsers.parse("{who} drains {runner}"))
+def drains(table, who, runner):
+    table.deliver(who, Drain(runner, True))
+
+
+@when(parsers.parse("a configuration without {who} opens"))
+def without(table, who):
+    table.open([m.name for m in table.granary.members if m.name != who], False)
+
+
+@when(parsers.parse("{who} claims {key} with body {body}"))
+def claims(table, who, key, body):
+    table.deliver(who, ClaimKey(key, body, 60000))
+
+
+@when(parsers.parse("{who} finishes {key}"))
+def finishes(table, who, key):
+    table.deliver(who, Finish(key, "done", b"1"))
+
+
+@when(parsers.parse("{seconds:d} seconds pass"))
+def passes(table, seconds):
+    if table.granary.duties["ticks"].holder is None:
+        win(table, "c1", True)
+    for _ in range(seconds):
+        table.deliver("c1", Tick(table.fence["c1"], 1000), True)
+
+
+def win(table, who, quiet=True):
+    duty = table.granary.duties["ticks"]
+    while duty.holder is None:
+        for voter in table.granary.cores:
+            table.deliver(voter, Ballot("ticks", table.granary.duties["ticks"].round, who), quiet)
+        duty = table.granary.duties["ticks"]
+    table.fence[who] = duty.fence
+
+
+@when(parsers.parse("{who} wins the duty ticks"))
+def wins(table, who):
+    win(table, who)
+
+
+@when(parsers.parse("{who} ticks with its old fence"))
+def oldTick(table, who):
+    table.deliver(who, Tick(table.fence[who], 1000))
+
+
+@when("the last message is delivered again")
+def again(table):
+    last = table.last
+    table.act(Entry(ID, last.ordinal + 1, last.index + 1, last.sender, last.number, last.payload))
+
+
+@when(parsers.parse("{who} sets {path} on version {version:d}"))
+def sets(table, who, path, version):
+    table.deliver(who, SetConfig(path, "d", 1, version, who, 1, ()))
+
+
+def word(verdict):
+    if isinstance(verdict, Reserved):
+        return f"Reserved {verdict.runner.name}"
+    if isinstance(verdict, Shared):
+        return f"Shared {verdict.status}"
+    return "None" if verdict is None else type(verdict).__name__
+
+
+@then(parsers.parse("the verdicts are {words}"))
+def verdictsAre(table, words):
+    assert [word(v) for v in table.verdicts] == words.split(", ")
+
+
+@then(parsers.parse("the last verdict is {said}"))
+def lastIs(table, said):
+    assert word(table.verdicts[-1]) == said
+
+
+@then(parsers.parse("the grants are {amounts}"))
+def grants(table, amounts):
+    found = [v.amount for v in table.verdicts if isinstance(v, Reserved)]
+    assert found == [int(a) for a in amounts.split(", ")]
