--- a/frostpost/gate/calls.py
+++ b/frostpost/gate/calls.py
@@ -28,6 +28,7 @@
     limitMs: int = 0
     gone: bool = False
     stop: object = None
+    still: object = None
     request: object = None
     emitted: int = 0
 
--- a/frostpost/gate/carry.py
+++ b/frostpost/gate/carry.py
@@ -1,3 +1,5 @@
+from typing import Callable
+
 from msgspec import Struct, json
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, fail, succeed
@@ -38,7 +40,7 @@
     def startProducing(self, consumer):
         if self.go.gone or not leaseOk(self.ctx.core, nowMs()):
             return fail(LeaseGone())
-        if not mayRun(self.ctx, self.go.runner):
+        if not mayRun(self.ctx, self.go.runner) or not self.go.still():
             return fail(LeaseGone())
         self.go.sent = True
         consumer.write(self.data)
@@ -62,8 +64,13 @@
     return held == runner and not leaving and not reported
 
 
+def always():
+    return True
+
+
 class Go(Struct):
     runner: object
+    still: Callable = always
     sent: bool = False
     gone: bool = False
     ended: object = None
--- a/frostpost/gate/lookups.py
+++ b/frostpost/gate/lookups.py
@@ -23,7 +23,7 @@
 
 @inlineCallbacks
 def once(ctx, call, runner, shareMs):
-    go = carry.Go(runner)
+    go = carry.Go(runner, call.still or carry.always)
     run = Run(go)
     status = statusOf(ctx, runner.name)
     status.inFlight += 1
@@ -123,6 +123,7 @@
 @inlineCallbacks
 def owned(ctx, call, key):
     askMs = ctx.settings.doors.askMs * 2
+    call.still = lambda: holds(ctx, key)
     result = yield goes(ctx, call, False)
     if result.is_error() and not isinstance(result.error, (faults.Unknown, faults.RunnerFault)):
         yield ask(ctx, Unclaim(key), askMs)
@@ -135,6 +136,11 @@
     return result
 
 
+def holds(ctx, key):
+    claim = ctx.core.granary.keys.get(key)
+    return claim is not None and claim.owner == ctx.place.member and claim.status == "held"
+
+
 def settled(ctx, key, waitMs):
     waiting = Deferred()
     ctx.keyWaiters.setdefault(key, []).append(waiting)
--- a/frostpost/gate/reads.py
+++ b/frostpost/gate/reads.py
@@ -4,10 +4,12 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from frostpost.granary.programs import whole
+from frostpost.granary.words import Look
 from frostpost.harvest.judge import Question, explain
 from frostpost.hedgerow.state import sequencer
 from frostpost.orchard.context import nowMs
 from frostpost.orchard.core import leaseOk
+from frostpost.orchard.heart import ask
 from frostpost.tending.meters import gather
 from . import faults
 
@@ -124,7 +126,11 @@
 
     @app.route("/v1/tenants/<tenant>/programs/<name>", methods=["GET"])
     def program_(request, tenant, name):
-        return leased(request, lambda: program(ctx, tenant, name))
+        def look(result):
+            if result.is_error():
+                return turnAway(request, result.error, "")
+            return leased(request, lambda: program(ctx, tenant, name))
+        return ask(ctx, Look(), ctx.settings.doors.askMs).addCallback(look)
 
     @app.route("/v1/tenants/<tenant>/lanes/<lane>/explain", methods=["GET"])
     def explain_(request, tenant, lane):
--- a/frostpost/gate/turns.py
+++ b/frostpost/gate/turns.py
@@ -85,7 +85,7 @@
 
     def run(self):
         ctx, runner = self.ctx, self.reserved.runner
-        self.go = carry.Go(runner)
+        self.go = carry.Go(runner, lambda: self.reserved.index in ctx.core.granary.reservations)
         lines = self.reserved.lines
         if not all(programs.whole(line) for line in lines):
             self.bad = faults.Internal("kept history failed its checksum")
--- a/frostpost/granary/apply.py
+++ b/frostpost/granary/apply.py
@@ -5,7 +5,7 @@
 from . import duties, keys, programs
 from .programs import stale
 from .words import (
-    Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Fire, Granary, Mark, NotHeld, Op, Open, Release,
+    Ballot, ClaimKey, ConfigSet, Done, Drain, Finish, Fire, Granary, Look, Mark, NotHeld, Op, Open, Release,
     Reserve, Runners, SetConfig, Settle, SetVoters, StaleConfig, Tick, Unclaim, Verdict, VotersSet,
 )
 
@@ -54,6 +54,8 @@
             return drain(granary, entry, op)
         case SetConfig():
             return config(granary, entry, op)
+        case Look():
+            return Done(entry.index)
         case Fire():
             return fire(granary, entry, op)
         case SetVoters():
--- a/frostpost/granary/words.py
+++ b/frostpost/granary/words.py
@@ -130,6 +130,10 @@
     change: SetConfig | None
 
 
+class Look(Struct, array_like=True, frozen=True, tag="look"):
+    pass
+
+
 class Ballot(Struct, array_like=True, frozen=True, tag="ballot"):
     duty: str
     round: int
@@ -138,7 +142,7 @@
 
 Op = (
     Open | Tick | Reserve | Settle | Release | ClaimKey | Finish | Unclaim | Runners | Drain
-    | SetConfig | Fire | Ballot | SetVoters
+    | SetConfig | Fire | Look | Ballot | SetVoters
 )
 
 
--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -131,9 +131,13 @@
         for number in [n for n in hedge.outbox if n <= entry.number]:
             del hedge.outbox[number]
     if entry.ordinal == 1 and entry.configuration == hedge.configuration.id:
-        hedge.primary.opened = True
-        hedge.order.floor = min(hedge.outbox, default=hedge.number + 1)
-        hedge.submitted = hedge.order.floor - 1
+        unlatch(hedge)
+
+
+def unlatch(hedge):
+    hedge.primary.settled = hedge.primary.opened = True
+    hedge.order.floor = min(hedge.outbox, default=hedge.number + 1)
+    hedge.submitted = hedge.order.floor - 1
 
 
 def lacking(hedge):
@@ -223,6 +227,8 @@
     count(hedge, "refilled")
     hedge.applied = log.settled = index
     out.answers.append(Filled(index, state))
+    if index > primary.base and not primary.opened:
+        unlatch(hedge)
     hedge.waiting = {i: e for i, e in hedge.waiting.items() if i > index}
     if hedge.storage:
         log.start, log.entries, primary.same = index, [], True
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -17,7 +17,7 @@
     held: int = 4096
     batch: int = 256
     pieceBytes: int = 262144
-    rewriteEntries: int = 4000
+    rewriteEntries: int = 20000
 
     @property
     def beatMs(self):
--- a/frostpost/weather/main.py
+++ b/frostpost/weather/main.py
@@ -7,9 +7,10 @@
 import cappa
 from msgspec import Struct, json
 
+from .blows import FAULTS
 from .plants import PLANTS, planted
 from .play import play
-from .storm import FAULTS
+
 
 SHAPES = {"quick": (2, 3, 2), "full": (8, 3, 5), "voters": (2, 5, 2)}
 
--- a/frostpost/weather/play.py
+++ b/frostpost/weather/play.py
@@ -2,10 +2,12 @@
 
 from msgspec import Struct
 
+from frostpost.hedgerow.state import Bounds
 from . import world as worlds
+from .blows import FAULTS, heal
 from .checks import Broken, evs
 from .ledger import ledger
-from .storm import BUDGET, FAULTS, Work, heal, serves, storm, tap, watch, work
+from .storm import BUDGET, Work, serves, storm, tap, watch, work
 
 STORM_MS = 14000
 BACK_MS = 12000
@@ -28,9 +30,12 @@
     return len(ids) == 1 and all(serves(world, n) for n in nodes)
 
 
+TIGHT = Bounds(rewriteEntries=60, pieceBytes=1500, batch=16)
+
+
 def play(seed, edges=2, storages=3, cores=2, kinds=None, stormMs=STORM_MS, bounds=None, prepare=None,
          gapMs=2500, voters=0):
-    world = worlds.make(seed, edges, storages, cores, bounds, voters)
+    world = worlds.make(seed, edges, storages, cores, bounds or (TIGHT if seed % 2 else None), voters)
     random = Random(seed * 7919 + 1)
     state = Work(random, untilMs=stormMs + 3000)
     world.tap = tap(state)
--- a/frostpost/weather/storm.py
+++ b/frostpost/weather/storm.py
@@ -12,6 +12,7 @@
 from frostpost.hedgerow.state import majority
 from frostpost.orchard.core import Decided, leaseOk
 from . import world as worlds
+from .blows import FAULTS, votersDown
 from .checks import Broken
 
 encode = msgpack.Encoder().encode
@@ -144,13 +145,6 @@
                 state.breaks.append(Broken("lease", f"{name} serves under {id} after {other}"))
 
 
-def split(random, names):
-    names = list(names)
-    random.shuffle(names)
-    at = random.randint(1, len(names) - 1)
-    return names[:at], names[at:]
-
-
 def storm(world, random, untilMs, kinds, gapMs=2500):
     atMs = 2500.0
     while atMs < untilMs:
@@ -158,114 +152,3 @@
         worlds.at(world, atMs - world.nowMs, "call", FAULTS[kind], random)
         world.trace.append((round(atMs), kind))
         atMs += random.uniform(20, gapMs)
-
-
-def revive(world, name):
-    if world.nodes[name].core is None:
-        worlds.start(world, name)
-
-
-def killOne(world, random, power=False):
-    name = random.choice(sorted(world.nodes))
-    worlds.kill(world, name, power)
-    worlds.at(world, random.uniform(50, 3000), "call", revive, name)
-
-
-def powerOne(world, random):
-    killOne(world, random, True)
-
-
-def allDown(world, random):
-    for name in world.nodes:
-        worlds.kill(world, name, True)
-        worlds.at(world, random.uniform(100, 1500), "call", revive, name)
-
-
-def votersDown(world):
-    for name in storages(world):
-        worlds.kill(world, name, True)
-        worlds.at(world, 100 + 10 * len(name), "call", revive, name)
-
-
-def powerAfterAck(world, random):
-    world.trap = True
-    for name in storages(world):
-        world.nodes[name].disk.delayMs = 40
-        worlds.at(world, 1500, "call", quickDisk, name)
-
-
-def freezeOne(world, random):
-    name = random.choice(sorted(world.nodes))
-    worlds.freeze(world, name)
-    worlds.at(world, random.uniform(50, 3500), "call", worlds.thaw, name)
-
-
-def cutSome(world, random):
-    left, right = split(random, world.nodes)
-    worlds.cut(world, left, right, oneWay=random.random() < 0.3)
-    worlds.at(world, random.uniform(100, 3000), "call", mend)
-
-
-def cutPairs(world, random):
-    for _ in range(random.randint(1, 4)):
-        a, b = random.sample(sorted(world.nodes), 2)
-        worlds.cut(world, [a], [b], oneWay=random.random() < 0.5)
-    worlds.at(world, random.uniform(100, 4000), "call", mend)
-
-
-def cutThree(world, random):
-    left, rest = split(random, world.nodes)
-    worlds.cut(world, left, rest)
-    if len(rest) > 1:
-        worlds.cut(world, *split(random, rest))
-    worlds.at(world, random.uniform(100, 3000), "call", mend)
-
-
-def mend(world):
-    world.cuts.clear()
-    world.lossRate = 0.0
-
-
-def lossy(world, random):
-    world.lossRate = random.uniform(0.01, 0.2)
-    worlds.at(world, random.uniform(100, 2000), "call", mend)
-
-
-def slowDisk(world, random):
-    name = random.choice(storages(world))
-    world.nodes[name].disk.delayMs = random.choice([50, 400, 1500])
-    worlds.at(world, random.uniform(200, 2500), "call", quickDisk, name)
-
-
-def quickDisk(world, name):
-    world.nodes[name].disk.delayMs = 3
-
-
-def storages(world):
-    return [n.name for n in world.nodes.values() if n.role == "storage"]
-
-
-def loseDisk(world, random):
-    full = [n for n in storages(world) if world.nodes[n].core is not None
-            and world.nodes[n].core.hedge.primary.ready and world.nodes[n].core.hedge.primary.opened]
-    if len(full) < len(storages(world)):
-        return
-    name = random.choice(full)
-    worlds.kill(world, name, True)
-    world.nodes[name].disk.lasting = []
-    worlds.at(world, random.uniform(50, 2000), "call", revive, name)
-
-
-FAULTS = {
-    "kill": killOne, "power": powerOne, "allDown": allDown, "freeze": freezeOne, "cut": cutSome,
-    "pairs": cutPairs, "three": cutThree, "lossy": lossy, "slowDisk": slowDisk, "loseDisk": loseDisk,
-    "ackPower": powerAfterAck,
-}
-
-
-def heal(world):
-    mend(world)
-    for name, node in world.nodes.items():
-        node.disk.delayMs = 3
-        revive(world, name)
-        worlds.thaw(world, name)
