Hand requests in again by progress, and park those that arrive early

Cause: the timer that hands undecided requests in again was set back by every new request, so under steady load a lost or overtaken one waited until the daemon fell silent, and all behind it.

Ruled out: the sync (3 ms throughout), the window (never full), batches (the same number).

--- a/frostpost/hedgerow/ordering.py
+++ b/frostpost/hedgerow/ordering.py
@@ -21,7 +21,9 @@
     first = max(hedge.submitted + 1, min(hedge.outbox))
     payloads = tuple(hedge.outbox[n] for n in range(first, hedge.number + 1))
     if payloads:
-        hedge.submitted, hedge.outboxMs = hedge.number, hedge.nowMs
+        if hedge.submitted < min(hedge.outbox):
+            hedge.outboxMs = hedge.nowMs
+        hedge.submitted = hedge.number
         out.sends.append((sequencer(hedge), Submit(
             hedge.configuration.id, hedge.order.floor, first, payloads)))
 
@@ -34,15 +36,17 @@
     if sequencer(hedge) != hedge.name:
         return
     seen = order.seen.get(sender, message.floor - 1)
+    parked = order.parked.setdefault(sender, {})
     for number, payload in enumerate(message.payloads, message.first):
-        if number != seen + 1:
-            continue
+        if seen < number <= seen + hedge.bounds.window:
+            parked[number] = payload
+    while seen + 1 in parked:
         if order.next - order.safe > hedge.bounds.held:
             count(hedge, "windowFull")
             break
-        seen = number
+        seen += 1
         order.unsent.append(Entry(
-            message.id, order.next, hedge.primary.base + order.next, sender, number, payload))
+            message.id, order.next, hedge.primary.base + order.next, sender, seen, parked.pop(seen)))
         order.next += 1
     order.seen[sender] = seen
 
@@ -153,6 +157,7 @@
         sayReady(hedge, out)
     if hedge.outbox and hedge.nowMs - hedge.outboxMs >= hedge.bounds.resendMs:
         hedge.submitted = min(hedge.outbox) - 1
+        count(hedge, "handedInAgain")
         push(hedge, out)
     if sequencer(hedge) != hedge.name:
         return
--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -130,6 +130,7 @@
     if entry.sender == hedge.me and entry.number:
         for number in [n for n in hedge.outbox if n <= entry.number]:
             del hedge.outbox[number]
+            hedge.outboxMs = hedge.nowMs
     if entry.ordinal == 1 and entry.configuration == hedge.configuration.id:
         unlatch(hedge)
 
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -101,6 +101,7 @@
     sent: dict[str, int] = {}
     sentMs: dict[str, int] = {}
     seen: dict[Member, int] = {}
+    parked: dict[Member, dict[int, bytes]] = {}
     unsent: list[Entry] = []
     fanned: int = 0
     floor: int = 0
--- a/frostpost/scarecrow/fleet.py
+++ b/frostpost/scarecrow/fleet.py
@@ -73,6 +73,11 @@
         f'list = "http://127.0.0.1:{fleet.listPort}/runners"\nhooks = "{fleet.folder}/{daemon.name}.hooks"\n{extra}')
 
 
+def extend(fleet, name, role, cell):
+    inner, http = ports(2)
+    fleet.daemons[name] = Daemon(name, role, cell, inner, http, os.path.join(fleet.folder, f"{name}.toml"))
+
+
 def raiseBacks(fleet, seed=1):
     fleet.backs = subprocess.Popen(
         [fleet.python, "-m", "frostpost.scarecrow.backs", f"{fleet.folder}/runners.notes", "--seed", str(seed)],
--- a/frostpost/scarecrow/main.py
+++ b/frostpost/scarecrow/main.py
@@ -59,7 +59,7 @@
         fleets.end(fleet)
     notes = read(f"{folder}/callers.notes")
     breaches = judge(notes, read(f"{folder}/runners.notes"), facts.get("drains", {}).items())
-    if name in ("roll", "calm", "races", "drains"):
+    if name in ("roll", "calm", "races", "drains", "grow"):
         ended = {r: a for r, a in asks(notes).items() if a.answeredMs}
         breaches += cutMidAnswer(ended)
     late = [n for n in notes if n.get("request", "").startswith("z")]
--- a/frostpost/scarecrow/proofs.py
+++ b/frostpost/scarecrow/proofs.py
@@ -176,6 +176,27 @@
     facts["largeMs"] = round((time.monotonic() - startS) * 1000)
 
 
+def grow(fleet, facts):
+    old = one(fleet, "storage")
+    edge = one(fleet, "edge")
+    fleet.seeds = [f"127.0.0.1:{fleet.daemons[n].port}" for n in (edge, one(fleet, "core"))]
+    fleets.extend(fleet, "s9", "storage", "b")
+    fleets.extend(fleet, "e9", "edge", "c")
+    facts["joined"] = [again(fleet, "s9"), again(fleet, "e9")]
+    facts["full"] = waitFor(lambda: statusOf(fleet, edge)["peers"]["s9"]["ready"], 20)
+    facts["tooFew"] = call(fleet, edge, "/v1/voters", "POST", {"remove": old})[0]
+    facts["added"] = call(fleet, edge, "/v1/voters", "POST", {"add": "s9"})
+    facts["emptied"] = call(fleet, edge, "/v1/voters", "POST", {"remove": old})
+    send(fleet, old, signal.SIGTERM)
+    fleet.daemons[old].process.wait(40)
+    facts["exit"] = fleet.daemons[old].process.returncode
+    other = one(fleet, "storage", (old,))
+    kill(fleet, other)
+    rest = [n for n in fleet.daemons if n not in (old, other)]
+    facts["servedWithoutAnother"] = waitFor(lambda: ready(fleet, rest), 10)
+    facts["otherBack"] = again(fleet, other)
+
+
 def calm(fleet, facts):
     time.sleep(5)
 
@@ -183,5 +204,5 @@
 PROOFS = {
     "calm": calm, "kill": killEach, "freeze": freezeEach, "cuts": cuts, "roll": roll,
     "allDown": allDown, "loseDisk": loseDisk, "slowDisk": slowDisk, "runners": runners,
-    "drains": drains, "crowd": crowd, "races": races,
+    "drains": drains, "crowd": crowd, "races": races, "grow": grow,
 }
