--- /dev/null
+++ b/frostpost/weather/placing.py
@@ -0,0 +1,144 @@
+import sys
+from heapq import heappop, heappush
+from random import Random
+from typing import Annotated
+
+import cappa
+from msgspec import Struct, json
+
+from frostpost.granary.programs import line
+from frostpost.granary.words import Runner
+from frostpost.harvest.judge import Question, Status, Weights, chainOf, rank
+
+POLICIES = {
+    "ours": Weights(),
+    "noJitter": Weights(jitter=0.0),
+    "leastLoad": Weights(prefix=0.0, cell=0.0, jitter=0.001),
+    "random": Weights(prefix=0.0, load=0.0, cell=0.0, jitter=1.0),
+}
+SPAN_S, REPORT_S, THINK_S = 60.0, 0.5, 0.4
+START_MS, LINE_MS, PIECE_MS, SLOW_MS = 40.0, 60.0, 20.0, 15.0
+
+
+class Back(Struct):
+    runner: Runner
+    held: dict = {}
+    running: int = 0
+    most: int = 0
+    total: int = 0
+
+
+class Tally(Struct):
+    hits: int = 0
+    lines: int = 0
+    took: list = []
+    turned: int = 0
+    served: int = 0
+
+
+def remember(back, chain, room=300):
+    for digest in chain:
+        back.held.pop(digest, None)
+        back.held[digest] = True
+    while len(back.held) > room:
+        back.held.pop(next(iter(back.held)))
+
+
+def report(daemons, backs, nowMs):
+    for statuses in daemons:
+        for back in backs:
+            held = statuses[back.runner.name]
+            held.load, held.heardMs = float(back.running), nowMs
+            held.prefixes = frozenset(back.held)
+
+
+def simulate(weights, seed, perSecond=24.0, daemonsMany=8, runnersMany=9, room=24):
+    random, tally, events, serial = Random(seed), Tally(), [], 0
+    backs = [Back(Runner(f"r{n}", f"i{n}", "", n, "pool", "abc"[n % 3], room)) for n in range(runnersMany)]
+    daemons = [{b.runner.name: Status(instance=b.runner.instance) for b in backs} for _ in range(daemonsMany)]
+
+    def push(atS, kind, *rest):
+        nonlocal serial
+        serial += 1
+        heappush(events, (atS, serial, kind, rest))
+    push(0.0, "report")
+    push(0.0, "program")
+    while events:
+        nowS, _, kind, rest = heappop(events)
+        if nowS > SPAN_S:
+            break
+        if kind == "report":
+            report(daemons, backs, int(nowS * 1000))
+            push(nowS + REPORT_S, "report")
+        elif kind == "program":
+            push(nowS + random.expovariate(perSecond), "program")
+            shared = [line(f"prompt {random.randrange(6)} part {n}", "ok") for n in range(2)]
+            push(nowS, "turn", f"p{serial}", shared, 2 + random.randrange(4))
+        elif kind == "turn":
+            turn(nowS, rest, weights, random, backs, daemons, tally, push)
+        else:
+            back, status, name, lines, left = rest
+            back.running -= 1
+            status.inFlight -= 1
+            lines = [*lines, line(f"{name} {left}", "output")]
+            remember(back, chainOf(lines))
+            if left > 1:
+                push(nowS + random.expovariate(1 / THINK_S), "turn", name, lines, left - 1)
+    return backs, tally
+
+
+def turn(nowS, rest, weights, random, backs, daemons, tally, push):
+    name, lines, left = rest
+    spot = random.randrange(len(daemons))
+    chain = chainOf(lines)
+    question = Question(("pool",), "abc"[spot % 3], chain, f"{name}/{left}", int(nowS * 1000))
+    ranked = rank(question, [b.runner for b in backs], daemons[spot], weights)
+    chosen = next((b for r in ranked for b in backs if b.runner is r and b.running < r.room), None)
+    if chosen is None:
+        tally.turned += 1
+        return
+    held = 0
+    while held < len(chain) and chain[held] in chosen.held:
+        held += 1
+    tally.hits, tally.lines = tally.hits + held, tally.lines + len(chain)
+    chosen.running += 1
+    chosen.total += 1
+    chosen.most = max(chosen.most, chosen.running)
+    daemons[spot][chosen.runner.name].inFlight += 1
+    tookMs = (START_MS + LINE_MS * (len(chain) - held) + PIECE_MS * random.randint(4, 24)
+              + SLOW_MS * chosen.running)
+    tally.took.append(tookMs)
+    push(nowS + tookMs / 1000, "done", chosen, daemons[spot][chosen.runner.name], name, lines, left)
+
+
+def measure(policy, seeds, perSecond):
+    rows = []
+    for seed in seeds:
+        backs, tally = simulate(POLICIES[policy], seed, perSecond)
+        took = sorted(tally.took)
+        totals = [b.total for b in backs]
+        rows.append({
+            "hits": round(tally.hits / max(1, tally.lines), 3), "p50Ms": round(took[len(took) // 2]),
+            "p99Ms": round(took[int(len(took) * 0.99)]), "turnedAway": tally.turned,
+            "spread": round(max(totals) / (sum(totals) / len(totals)), 2),
+            "mostAtOnce": max(b.most for b in backs)})
+    middle = {k: sorted(r[k] for r in rows)[len(rows) // 2] for k in rows[0]}
+    range_ = {k: [min(r[k] for r in rows), max(r[k] for r in rows)] for k in rows[0]}
+    return {"policy": policy, "perSecond": perSecond, "median": middle, "range": range_}
+
+
+@cappa.command(name="placing", help="Compare our placement with least-load and random choices of our own.")
+class Placing(Struct, kw_only=True):
+    seeds: Annotated[int, cappa.Arg(long=True)] = 5
+
+
+def main():
+    command = cappa.parse(Placing)
+    for perSecond in (12.0, 24.0, 48.0):
+        for policy in POLICIES:
+            print(json.encode(measure(policy, range(1, command.seeds + 1), perSecond)).decode(), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
