Hold a fleet's ports while it stands, so that no connection takes one

Cause: the fleet let its kernel-picked ports go before its daemons listened; a connection of another process took one (ListenFault, exit 69) and the fleet never came up. The sockets now stay bound, not listening, until the fleet ends; daemons listen beside them.

Ruled out: a daemon at fault (it said why and ended), the waiting time.

--- a/frostpost/scarecrow/fleet.py
+++ b/frostpost/scarecrow/fleet.py
@@ -32,17 +32,17 @@
     runners: list[dict] = []
     python: str = sys.executable
     seeds: list[str] = []
+    held: list = []
 
 
-def ports(many):
-    socks = []
+def ports(fleet, many):
+    found = []
     for _ in range(many):
         sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", 0))
-        socks.append(sock)
-    found = [s.getsockname()[1] for s in socks]
-    for sock in socks:
-        sock.close()
+        fleet.held.append(sock)
+        found.append(sock.getsockname()[1])
     return found
 
 
@@ -51,7 +51,7 @@
     fleet = Fleet(os.path.abspath(folder))
     edges, storages, cores = SIZES[size] if isinstance(size, str) else size
     plan = [("storage", "s", storages), ("core", "c", cores), ("edge", "e", edges)]
-    free = iter(ports(2 * (edges + storages + cores)))
+    free = iter(ports(fleet, 2 * (edges + storages + cores)))
     for role, letter, many in plan:
         for n in range(many):
             name = f"{letter}{n + 1}"
@@ -73,7 +73,7 @@
 
 
 def extend(fleet, name, role, cell):
-    inner, http = ports(2)
+    inner, http = ports(fleet, 2)
     fleet.daemons[name] = Daemon(name, role, cell, inner, http, os.path.join(fleet.folder, f"{name}.toml"))
 
 
@@ -167,6 +167,8 @@
             daemon.process.send_signal(signal.SIGCONT)
             daemon.process.kill()
             daemon.process.wait()
+    for sock in fleet.held:
+        sock.close()
     if fleet.backs:
         fleet.backs.kill()
         fleet.backs.wait()
