--- a/frostpost/gate/control.py
+++ b/frostpost/gate/control.py
@@ -79,7 +79,8 @@
     if request.method == b"PATCH":
         if held == 0:
             return Error(faults.NoSuch(f"there is no {path} to amend"))
-        document = patch(documentOf(ctx, path), document)
+        whole = yield deferToThread(json.decode, shelves.bodyOf(ctx, path))
+        document = patch(whole, document)
     result, bases = yield deferToThread(judge, ctx, kind, name, document)
     if result.is_error():
         return Error(faults.ConfigFaulty(result.error.faults))
--- a/frostpost/gate/reads.py
+++ b/frostpost/gate/reads.py
@@ -1,6 +1,7 @@
 from shutil import disk_usage
 from time import time
 
+from msgspec import Raw
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from frostpost.granary.programs import whole
@@ -11,6 +12,7 @@
 from frostpost.orchard.core import leaseOk
 from frostpost.orchard.heart import ask
 from frostpost.tending.meters import gather
+from frostpost.tending.shelves import bodyOf
 from . import faults
 
 
@@ -93,7 +95,9 @@
     held, mark = ctx.documents.get(path), ctx.core.granary.configs.get(path)
     if held is None or mark is None:
         return faults.NoSuch(f"there is no {path}")
-    return {"path": path, "version": held[0], "document": held[1]}
+    if mark.version != held[0]:
+        return faults.ConfigChanging()
+    return {"path": path, "version": held[0], "document": Raw(bodyOf(ctx, path))}
 
 
 def configs(ctx):
--- a/frostpost/tending/calendars.py
+++ b/frostpost/tending/calendars.py
@@ -33,7 +33,7 @@
 
 @inlineCallbacks
 def fireOne(ctx, fence, path, nowS):
-    version, tenant = ctx.documents[path]
+    version, tenant = ctx.documents[path][0], json.decode(shelves.bodyOf(ctx, path))
     askMs = ctx.settings.doors.askMs
     sinceS = ctx.core.granary.fired.get(path)
     if sinceS is None:
--- a/frostpost/tending/shelves.py
+++ b/frostpost/tending/shelves.py
@@ -1,4 +1,4 @@
-from msgspec import json, msgpack
+from msgspec import Raw, json, msgpack
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.threads import deferToThread
 
@@ -136,7 +136,16 @@
 
 
 def parseAll(bodies):
-    return {path: (version, json.decode(body)) for path, version, body in bodies}
+    return {path: (version, light(body)) for path, version, body in bodies}
+
+
+def light(body):
+    parts = json.decode(body, type=dict[str, Raw])
+    return {name: json.decode(part) for name, part in parts.items() if name != "notes"}
+
+
+def bodyOf(ctx, path):
+    return ctx.shelf.bodies[ctx.core.granary.configs[path].digest]
 
 
 def stampAll(documents):
--- a/frostpost/trellis/shapes.py
+++ b/frostpost/trellis/shapes.py
@@ -52,7 +52,6 @@
     "lanes": {"type": "dict", "required": True, "minlength": 1,
               "keysrules": {"type": "string", "regex": WORD.pattern},
               "valuesrules": {"type": "dict", "schema": LANE}},
-    "notes": {"type": "dict"},
 }
 TENANT = {
     "template": {"type": "string", "required": True, "regex": WORD.pattern},
@@ -63,7 +62,6 @@
         "set": {"type": "dict", "required": True, "minlength": 1,
                 "keysrules": {"type": "string", "regex": WORD.pattern},
                 "valuesrules": {"type": ["integer", "string"]}}}}},
-    "notes": {"type": "dict"},
 }
 SHAPES = {"templates": TEMPLATE, "tenants": TENANT}
 DEFAULTS = {
@@ -85,7 +83,9 @@
 def check(kind, document):
     if not isinstance(document, dict):
         return Error(ConfigInvalid((Fault("/", "must be an object"),)))
+    if not isinstance(document.get("notes", {}), dict):
+        return Error(ConfigInvalid((Fault("/notes", "must be of dict type"),)))
     validator = Validator(SHAPES[kind], require_all=False, allow_unknown=False)
-    if validator.validate(document):
+    if validator.validate({k: v for k, v in document.items() if k != "notes"}):
         return Ok(document)
     return Error(ConfigInvalid(tuple(flatten(validator.errors, ""))))
