Name the sequencer in the proposal

Cause: each member worked the sequencer out from the roles it knew; one that had not yet met a member took it for an edge daemon and followed another sequencer. Voters could then tell two daemons that they are ready, and each could order an Open at ordinal 1.

Ruled out: waiting until all roles are known (a member may be met by beats before its roster).

Before: with roles hidden from two storage daemons no primary opens. After: all follow the proposer's choice.

--- a/frostpost/hedgerow/membership.py
+++ b/frostpost/hedgerow/membership.py
@@ -1,5 +1,5 @@
 from .events import Booted
-from .state import Proposal, Recovery, count, memory, write
+from .state import Proposal, Recovery, count, elect, memory, write
 from .watch import desire
 from .words import ConfigurationId, Exchange, Install, Plan, Propose, TurnAway
 
@@ -34,9 +34,10 @@
 def propose(hedge, out, members):
     count(hedge, "proposals")
     id = ConfigurationId(topEpoch(hedge) + 1, hedge.name, hedge.me.boot)
-    hedge.proposal = Proposal(id, tuple(members), hedge.nowMs, hedge.nowMs)
+    proposal = Proposal(id, tuple(members), elect(hedge, members), hedge.nowMs, hedge.nowMs)
+    hedge.proposal = proposal
     for member in members:
-        out.sends.append((member.name, Propose(id, tuple(members))))
+        out.sends.append((member.name, Propose(id, proposal.members, proposal.sequencer)))
 
 
 def proposed(hedge, out, frm, message):
@@ -48,14 +49,15 @@
         return
     if hedge.proposal and hedge.proposal.id < message.id:
         hedge.proposal = None
-    promise(hedge, out, frm, message.id, message.members)
+    promise(hedge, out, frm, message)
 
 
-def promise(hedge, out, frm, id, members):
-    hedge.promised = id
-    hedge.recovery = Recovery(id, frm, members, hedge.nowMs, hedge.nowMs)
+def promise(hedge, out, frm, message):
+    hedge.promised = message.id
+    hedge.recovery = Recovery(
+        message.id, frm, message.members, message.sequencer, hedge.nowMs, hedge.nowMs)
     hedge.order.early = []
-    write(hedge, out, Booted(hedge.me.boot, id.epoch))
+    write(hedge, out, Booted(hedge.me.boot, message.id.epoch))
     sayExchange(hedge, out)
 
 
@@ -135,7 +137,8 @@
         else:
             for member in proposal.members:
                 if member.name not in proposal.exchanges:
-                    out.sends.append((member.name, Propose(proposal.id, proposal.members)))
+                    out.sends.append((member.name, Propose(
+                        proposal.id, proposal.members, proposal.sequencer)))
 
 
 def shun(hedge, member):
--- a/frostpost/hedgerow/recovery.py
+++ b/frostpost/hedgerow/recovery.py
@@ -1,6 +1,6 @@
 from .ordering import act, advance
 from .settling import judge, prepare
-from .state import Order, count, majorities, names, sequencer
+from .state import Order, count, majorities, sequencer
 from .events import Changed, Delivered
 from .words import Complete, Configuration, Rebroadcast
 
@@ -98,7 +98,7 @@
 
 def install(hedge, out):
     recovery, order = hedge.recovery, hedge.order
-    group = names(Configuration(recovery.id, recovery.group))
+    group = [m.name for m in recovery.group]
     safe = max(recovery.plan[n].safe for n in group)
     acting = hedge.primary.able
     while order.delivered < safe and order.delivered + 1 in order.held:
@@ -107,7 +107,8 @@
         out.answers.append(Delivered(entry, False, acting))
         if acting:
             act(hedge, out, entry)
-    out.answers.append(Changed(Configuration(hedge.configuration.id, recovery.group), True))
+    out.answers.append(Changed(
+        Configuration(hedge.configuration.id, recovery.group, sequencer(hedge)), True))
     keeping = acting and majorities(hedge.primary, fullVoters(hedge, group))
     gap = False
     for ordinal in sorted(o for o in order.held if o > order.delivered):
@@ -136,7 +137,7 @@
 
 def begin(hedge, out):
     recovery = hedge.recovery
-    hedge.configuration = Configuration(recovery.id, recovery.members)
+    hedge.configuration = Configuration(recovery.id, recovery.members, recovery.sequencer)
     hedge.installedMs = hedge.nowMs
     hedge.log.epoch = max(hedge.log.epoch, recovery.id.epoch)
     hedge.recovery = None
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -69,6 +69,7 @@
 class Proposal(Struct):
     id: ConfigurationId
     members: tuple[Member, ...]
+    sequencer: str
     startedMs: int
     sentMs: int
     exchanges: dict[str, Exchange] = {}
@@ -80,6 +81,7 @@
     id: ConfigurationId
     proposer: str
     members: tuple[Member, ...]
+    sequencer: str
     startedMs: int
     sentMs: int
     plan: dict[str, Exchange] | None = None
@@ -195,10 +197,13 @@
     return peer.place.role if peer else "edge"
 
 
-def sequencer(hedge, configuration=None):
-    members = names(configuration or hedge.configuration)
-    cores = sorted(n for n in members if role(hedge, n) == "core")
-    return cores[0] if cores else sorted(members)[0]
+def sequencer(hedge):
+    return hedge.configuration.sequencer
+
+
+def elect(hedge, members):
+    held = sorted(m.name for m in members)
+    return next((n for n in held if role(hedge, n) == "core"), held[0])
 
 
 def majority(voters, present):
@@ -214,7 +219,8 @@
     single = ConfigurationId(log.epoch + 1, place.member.name, place.member.boot)
     hedge = Hedge(
         place=place, bounds=bounds, seeds=tuple(seeds), voters0=tuple(voters), storage=storage,
-        log=log, configuration=Configuration(single, (place.member,)), promised=single,
+        log=log, configuration=Configuration(single, (place.member,), place.member.name),
+        promised=single,
         nowMs=nowMs, installedMs=nowMs, applied=log.settled,
     )
     out = Out()
--- a/frostpost/hedgerow/words.py
+++ b/frostpost/hedgerow/words.py
@@ -17,6 +17,7 @@
 class Configuration(Struct, frozen=True, array_like=True):
     id: ConfigurationId
     members: tuple[Member, ...]
+    sequencer: str
 
 
 class Entry(Struct, frozen=True, array_like=True):
@@ -64,6 +65,7 @@
 class Propose(Struct, frozen=True, array_like=True, tag=3):
     id: ConfigurationId
     members: tuple[Member, ...]
+    sequencer: str
 
 
 class TurnAway(Struct, frozen=True, array_like=True, tag=4):
