Start windows anew after a full stop

Cause: the ledger's clock stands still while all is down, so a window went on with what it had left; the rule is that it starts anew. An Open whose members share none with the last is a full stop: ended keys and kept programs are touched by it.

Ruled out: wall clocks (they jump).

--- a/frostpost/granary/apply.py
+++ b/frostpost/granary/apply.py
@@ -28,11 +28,15 @@
 def act(granary, entry, op) -> Verdict:
     match op:
         case Open(members, cores, voters):
+            stopped = bool(granary.members) and not set(granary.members) & set(members)
             granary.members, granary.cores = members, cores
             granary.voters = granary.voters or voters
             programs.orphan(granary)
             keys.orphan(granary)
             duties.vacate(granary)
+            if stopped:
+                keys.anew(granary)
+                programs.anew(granary)
             return Done(entry.index)
         case Tick():
             return tick(granary, entry, op)
--- a/frostpost/granary/keys.py
+++ b/frostpost/granary/keys.py
@@ -41,6 +41,12 @@
             end(granary, key, "unknown", b"")
 
 
+def anew(granary):
+    for key, held in granary.keys.items():
+        if held.endedMs >= 0:
+            end(granary, key, held.status, held.verdict)
+
+
 def expire(granary, key):
     held = granary.keys.get(key)
     if held and held.endedMs >= 0 and granary.clockMs - held.endedMs >= held.windowMs:
--- a/frostpost/granary/programs.py
+++ b/frostpost/granary/programs.py
@@ -104,6 +104,11 @@
             close(granary, number, held.amount)
 
 
+def anew(granary):
+    for name, program in granary.programs.items():
+        touch(granary, name, program)
+
+
 def expire(granary, name):
     program = granary.programs.get(name)
     if program is None or program.turn:
--- a/tests/features/ledger.feature
+++ b/tests/features/ledger.feature
@@ -55,6 +55,17 @@
     And e2 claims k with body a
     Then the verdicts are Won, Done, Shared unknown
 
+  Scenario: After a full stop a key's window starts anew
+    When e1 claims k with body a
+    And e1 finishes k
+    And 59 seconds pass
+    And all stop and come back
+    And 2 seconds pass
+    And e2 claims k with body a
+    And 59 seconds pass
+    And e2 claims k with body a
+    Then the verdicts are Won, Done, Done, Shared done, Won
+
   Scenario: An operation delivered twice acts once
     When e1 claims k with body a
     And the last message is delivered again
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -19,11 +19,12 @@
 class Table:
     def __init__(self):
         self.granary, self.verdicts, self.number, self.last, self.fence = Granary(), [], {}, None, {}
+        self.boot = 1
 
     def deliver(self, sender, op, quiet=False):
         self.number[sender] = self.number.get(sender, 0) + 1
         number = 0 if isinstance(op, Open) else self.number[sender]
-        entry = Entry(ID, self.granary.index + 1, self.granary.index + 1, Member(sender, 1), number,
+        entry = Entry(ID, self.granary.index + 1, self.granary.index + 1, Member(sender, self.boot), number,
                       msgpack.encode(op))
         self.last = entry
         self.act(entry, quiet)
@@ -35,7 +36,7 @@
             self.verdicts.append(verdict)
 
     def open(self, names, quiet):
-        members = tuple(Member(n, 1) for n in names)
+        members = tuple(Member(n, self.boot) for n in names)
         self.deliver("c1", Open(members, tuple(n for n in names if n[0] == "c"), ("s1",)), quiet)
 
 
@@ -76,6 +77,12 @@
     table.open([m.name for m in table.granary.members if m.name != who], False)
 
 
+@when("all stop and come back")
+def stop(table):
+    table.boot += 1
+    table.open([m.name for m in table.granary.members], False)
+
+
 @when(parsers.parse("{who} claims {key} with body {body}"))
 def claims(table, who, key, body):
     table.deliver(who, ClaimKey(key, body, 60000))
