--- a/frostpost/hedgerow/membership.py
+++ b/frostpost/hedgerow/membership.py
@@ -1,5 +1,6 @@
 from .events import Booted
-from .state import Proposal, Recovery, count, elect, memory, write
+from .memory import memory
+from .state import Proposal, Recovery, count, elect, write
 from .watch import desire
 from .words import ConfigurationId, Exchange, Install, Plan, Propose, TurnAway
 
--- /dev/null
+++ b/frostpost/hedgerow/memory.py
@@ -0,0 +1,60 @@
+from msgspec import Struct, msgpack
+
+from .events import Appended, Booted, Installed, SetVoters, Snapshot
+from .words import ConfigurationId, Entry, Memory
+
+NOWHERE = ConfigurationId(0, "", 0)
+decodeVoters = msgpack.Decoder(SetVoters).decode
+VOTERS_HEAD = msgpack.encode(SetVoters(ConfigurationId(0, "", 0), (), ()))[:8]
+
+
+class Log(Struct):
+    primary: ConfigurationId = NOWHERE
+    base: int = 0
+    start: int = 0
+    entries: list[Entry] = []
+    voters: tuple[str, ...] = ()
+    epoch: int = 0
+    boot: int = 0
+    settled: int = 0
+    snapshot: bytes = b""
+
+    @property
+    def length(self):
+        return self.start + len(self.entries)
+
+
+def replay(records):
+    log = Log()
+    for record in records:
+        replayOne(log, record)
+    return log
+
+
+def replayOne(log, record):
+    match record:
+        case Booted(boot, epoch):
+            log.boot, log.epoch = max(log.boot, boot), max(log.epoch, epoch)
+        case Snapshot(index, state):
+            log.start, log.entries, log.snapshot = index, [], state
+            log.settled = max(log.settled, index)
+        case Installed(id, base, voters):
+            log.primary, log.base, log.voters = id, base, voters
+            log.epoch = max(log.epoch, id.epoch)
+            del log.entries[max(0, base - log.start):]
+        case Appended(entry, settled):
+            del log.entries[max(0, entry.index - log.start - 1):]
+            if entry.index == log.length + 1:
+                log.entries.append(entry)
+            log.settled = max(log.settled, min(settled, log.length))
+
+
+def memory(log):
+    if log.primary == NOWHERE:
+        return None
+    return Memory(log.primary, log.length, log.voters, coming(log))
+
+
+def coming(log):
+    tail = log.entries[max(0, log.settled - log.start):]
+    return tuple(decodeVoters(e.payload).after for e in tail if e.payload[:8] == VOTERS_HEAD)
--- a/frostpost/hedgerow/settling.py
+++ b/frostpost/hedgerow/settling.py
@@ -2,7 +2,8 @@
 
 from msgspec import msgpack
 
-from .state import NOWHERE, Primary, count, majorities, names, role, sequencer, write
+from .memory import NOWHERE
+from .state import Primary, count, majorities, names, role, sequencer, write
 from .events import Appended, Applied, Filled, Installed, Open, Snapshot, SnapshotAsked
 from .words import Entry, Fetch, Fill, Ready
 
--- a/frostpost/hedgerow/state.py
+++ b/frostpost/hedgerow/state.py
@@ -1,12 +1,10 @@
-from msgspec import Struct, field, msgpack
+from msgspec import Struct, field
 
-from .events import Appended, Booted, Installed, Out, SetVoters, Snapshot
-from .words import Configuration, ConfigurationId, Entry, Exchange, Member, Memory, Place
+from .events import Booted, Out
+from .memory import NOWHERE, Log
+from .words import Configuration, ConfigurationId, Entry, Exchange, Member, Place
 
-decodeVoters = msgpack.Decoder(SetVoters).decode
-VOTERS_HEAD = msgpack.encode(SetVoters(ConfigurationId(0, "", 0), (), ()))[:8]
 RANK = {"storage": 0, "core": 1, "edge": 2}
-NOWHERE = ConfigurationId(0, "", 0)
 
 
 class Bounds(Struct, frozen=True):
@@ -50,22 +48,6 @@
     past: frozenset[Member] = frozenset()
 
 
-class Log(Struct):
-    primary: ConfigurationId = NOWHERE
-    base: int = 0
-    start: int = 0
-    entries: list[Entry] = []
-    voters: tuple[str, ...] = ()
-    epoch: int = 0
-    boot: int = 0
-    settled: int = 0
-    snapshot: bytes = b""
-
-    @property
-    def length(self):
-        return self.start + len(self.entries)
-
-
 class Proposal(Struct):
     id: ConfigurationId
     members: tuple[Member, ...]
@@ -226,39 +208,3 @@
     out = Out()
     write(hedge, out, Booted(place.member.boot, single.epoch))
     return hedge, out
-
-
-def replay(records):
-    log = Log()
-    for record in records:
-        replayOne(log, record)
-    return log
-
-
-def replayOne(log, record):
-    match record:
-        case Booted(boot, epoch):
-            log.boot, log.epoch = max(log.boot, boot), max(log.epoch, epoch)
-        case Snapshot(index, state):
-            log.start, log.entries, log.snapshot = index, [], state
-            log.settled = max(log.settled, index)
-        case Installed(id, base, voters):
-            log.primary, log.base, log.voters = id, base, voters
-            log.epoch = max(log.epoch, id.epoch)
-            del log.entries[max(0, base - log.start):]
-        case Appended(entry, settled):
-            del log.entries[max(0, entry.index - log.start - 1):]
-            if entry.index == log.length + 1:
-                log.entries.append(entry)
-            log.settled = max(log.settled, min(settled, log.length))
-
-
-def memory(log):
-    if log.primary == NOWHERE:
-        return None
-    return Memory(log.primary, log.length, log.voters, coming(log))
-
-
-def coming(log):
-    tail = log.entries[max(0, log.settled - log.start):]
-    return tuple(decodeVoters(e.payload).after for e in tail if e.payload[:8] == VOTERS_HEAD)
--- a/frostpost/orchard/main.py
+++ b/frostpost/orchard/main.py
@@ -58,7 +58,7 @@
     from frostpost.gate.app import build
     from frostpost.gate.carry import agent
     from frostpost.gate.lookups import wake
-    from frostpost.hedgerow.state import replay
+    from frostpost.hedgerow.memory import replay
     from frostpost.hedgerow.words import Member, Place
     from frostpost.tending import shelves
     from frostpost.trellis.shelf import Shelf
--- a/frostpost/weather/traces.py
+++ b/frostpost/weather/traces.py
@@ -5,7 +5,8 @@
 from frostpost.hedgerow.events import (
     Applied, Changed, Delivered, Filled, Input, Record, Rewrite, Synced,
 )
-from frostpost.hedgerow.state import Bounds, Log, replay, replayOne
+from frostpost.hedgerow.memory import Log, replay, replayOne
+from frostpost.hedgerow.state import Bounds
 from frostpost.hedgerow.words import Ack, Complete, Place
 from frostpost.orchard import core as cores
 from . import world as worlds
--- a/frostpost/weather/world.py
+++ b/frostpost/weather/world.py
@@ -4,7 +4,8 @@
 from msgspec import Struct, field
 
 from frostpost.hedgerow import events
-from frostpost.hedgerow.state import Bounds, replay
+from frostpost.hedgerow.memory import replay
+from frostpost.hedgerow.state import Bounds
 from frostpost.hedgerow.events import Received, Rewrite, Synced, Tick
 from frostpost.hedgerow.words import Batch, Member, Place
 from frostpost.orchard import core as cores
