Lay out the users' machines: a ring of storage daemons, leaves round it

Words of the turn ledger, of the way of a request and of the messages between ring and leaves; places apart from the ring's own messages. No behaviour yet.

--- /dev/null
+++ b/frostpost/canopy/context.py
@@ -0,0 +1,27 @@
+"""The one context object of a daemon that is no member of the ring: an edge or a core daemon."""
+from frostpost.orchard.machine import Machine
+
+
+class Leaf:
+    __slots__ = (
+        "settings", "reactor", "place", "machine", "links", "directory", "session", "routing",
+        "routing_body", "runners", "wire", "pools", "loads", "cache", "putting", "counts", "leaving",
+        "flights", "calls", "tasks", "charter", "life", "front", "lag_ms", "parts", "extras",
+    )
+
+    def __init__(self, settings, reactor, place, machine=Machine()):
+        self.settings, self.reactor, self.place, self.machine = settings, reactor, place, machine
+        self.links, self.directory, self.session, self.charter = {}, None, None, ()
+        self.routing, self.routing_body, self.runners, self.wire = None, b"", {}, None
+        self.pools, self.loads, self.cache, self.putting, self.counts = {}, {}, None, {}, {}
+        self.leaving, self.flights, self.calls, self.tasks = False, 0, 0, []
+        self.life, self.front, self.lag_ms, self.parts, self.extras = None, None, 0.0, {}, {}
+
+
+def now_ms(leaf):
+    """Steady clock, whole milliseconds."""
+    return int(leaf.machine.seconds() * 1000)
+
+
+def count(leaf, what, by=1):
+    leaf.counts[what] = leaf.counts.get(what, 0) + by
--- /dev/null
+++ b/frostpost/coppice/words.py
@@ -0,0 +1,157 @@
+"""Operations and verdicts of programs as trees of turns; one total order decides them.
+
+Times are milliseconds of the ledger's own clock, tokens are whole numbers, ids are text.
+"""
+from msgspec import Struct
+
+
+class Candidate(Struct, array_like=True, frozen=True):
+    """A runner that the asking daemon may send to: its id, its slots, extra cost in tokens."""
+    runner: str
+    slots: int
+    penalty: int = 0
+
+
+class Begin(Struct, array_like=True, frozen=True, tag="begin"):
+    """Reserve `amount` tokens of a program's budget and a runner for one attempt at a turn."""
+    attempt: str
+    program: str
+    budget: int
+    amount: int
+    previous: str
+    left_ms: int
+    candidates: tuple[Candidate, ...]
+    parts: tuple[tuple[str, int], ...] = ()
+    line: str = ""
+    prompt_tokens: int = 0
+
+
+class Move(Struct, array_like=True, frozen=True, tag="move"):
+    """Give an open attempt that no runner has run another runner."""
+    attempt: str
+    candidates: tuple[Candidate, ...]
+
+
+class End(Struct, array_like=True, frozen=True, tag="end"):
+    """An attempt put out `tokens`; with `keep_ms` above 0 it becomes a turn that others may follow."""
+    attempt: str
+    tokens: int
+    keep_ms: int = 0
+    size: int = 0
+
+
+class Abort(Struct, array_like=True, frozen=True, tag="abort"):
+    """No runner ran the attempt and none will."""
+    attempt: str
+
+
+class Claim(Struct, array_like=True, frozen=True, tag="claimKey"):
+    key: str
+    attempt: str
+    window_ms: int
+
+
+class Resolve(Struct, array_like=True, frozen=True, tag="resolveKey"):
+    key: str
+    attempt: str
+    answer: bytes
+
+
+class Disclaim(Struct, array_like=True, frozen=True, tag="disclaimKey"):
+    """The claimed key's work was not run and never will be."""
+    key: str
+    attempt: str
+
+
+class SetRouting(Struct, array_like=True, frozen=True, tag="setRouting"):
+    base: int
+    version: int
+    body: bytes
+
+
+class LookRouting(Struct, array_like=True, frozen=True, tag="lookRouting"):
+    pass
+
+
+class Retire(Struct, array_like=True, frozen=True, tag="retire"):
+    name: str
+    known: bool
+    least: int
+
+
+class Retired(Struct, array_like=True, frozen=True, tag="retired"):
+    name: str
+
+
+class LookRetired(Struct, array_like=True, frozen=True, tag="lookRetired"):
+    name: str
+
+
+CoppiceOp = (
+    Begin | Move | End | Abort | Claim | Resolve | Disclaim | SetRouting | LookRouting | Retire | Retired
+    | LookRetired
+)
+
+
+class Begun(Struct, array_like=True, frozen=True, tag="begun"):
+    """The runner, the turns whose bodies come first (oldest first), and what the program may still put out."""
+    runner: str
+    chain: tuple[str, ...]
+
+
+class Ended(Struct, array_like=True, frozen=True, tag="ended"):
+    pass
+
+
+class NoTurn(Struct, array_like=True, frozen=True, tag="NoTurn"):
+    turn: str
+
+
+class TokensSpent(Struct, array_like=True, frozen=True, tag="TokensSpent"):
+    budget: int
+    spent: int
+
+
+class NoPlace(Struct, array_like=True, frozen=True, tag="NoPlace"):
+    """No candidate has room; `wait_ms` is when to come back."""
+    wait_ms: int
+
+
+class NoAttempt(Struct, array_like=True, frozen=True, tag="NoAttempt"):
+    attempt: str
+
+
+class Claimed(Struct, array_like=True, frozen=True, tag="claimed"):
+    pass
+
+
+class KeyAtWork(Struct, array_like=True, frozen=True, tag="KeyAtWork"):
+    pass
+
+
+class KeyAnswered(Struct, array_like=True, frozen=True, tag="keyAnswered"):
+    answer: bytes
+
+
+class RoutingSet(Struct, array_like=True, frozen=True, tag="routingSet"):
+    version: int
+
+
+class RoutingMoved(Struct, array_like=True, frozen=True, tag="RoutingMoved"):
+    version: int
+
+
+class RoutingHeld(Struct, array_like=True, frozen=True, tag="routingHeld"):
+    version: int
+    body: bytes
+
+
+class RetireState(Struct, array_like=True, frozen=True, tag="retireState"):
+    """state: unknown, few, in_service or completed."""
+    state: str
+
+
+CoppiceVerdict = (
+    Begun | Ended | NoTurn | TokensSpent | NoPlace | NoAttempt | Claimed | KeyAtWork | KeyAnswered
+    | RoutingSet | RoutingMoved | RoutingHeld | RetireState
+)
--- /dev/null
+++ b/frostpost/hedgerow/outer.py
@@ -0,0 +1,82 @@
+"""Messages between the ring's members and the leaves round it; the ring's own are in words.py."""
+from msgspec import Struct
+
+from .places import Place
+
+
+class Hello(Struct, frozen=True, array_like=True, tag=22):
+    pass
+
+
+class Directory(Struct, frozen=True, array_like=True, tag=23):
+    """places: the ring's daemons that the teller knows; charter: the founding voters, if it knows them."""
+    places: tuple[Place, ...]
+    charter: tuple[str, ...] = ()
+
+
+class Renew(Struct, frozen=True, array_like=True, tag=24):
+    """A leaf asks for its lease and tells which routing it honours; sent_ms is on its own clock."""
+    sent_ms: int
+    version: int
+
+
+class Grant(Struct, frozen=True, array_like=True, tag=25):
+    """lease_ms from sent_ms on the leaf's clock, 0 if the teller may grant none; sequencer: whom to ask."""
+    sent_ms: int
+    lease_ms: int
+    sequencer: str
+    voters: tuple[str, ...] = ()
+    version: int = 0
+    honoured: int = 0
+
+
+class AskRing(Struct, frozen=True, array_like=True, tag=26):
+    boot: int
+    number: int
+    payload: bytes
+
+
+class Told(Struct, frozen=True, array_like=True, tag=27):
+    """fault is empty where the verdict stands."""
+    boot: int
+    number: int
+    verdict: bytes
+    fault: str = ""
+
+
+class RoutingAsk(Struct, frozen=True, array_like=True, tag=28):
+    version: int
+
+
+class RoutingTell(Struct, frozen=True, array_like=True, tag=29):
+    version: int
+    body: bytes
+
+
+class SiloPut(Struct, frozen=True, array_like=True, tag=30):
+    boot: int
+    number: int
+    turn: str
+    data: bytes
+
+
+class SiloDone(Struct, frozen=True, array_like=True, tag=31):
+    boot: int
+    number: int
+    synced: bool
+
+
+class SiloGet(Struct, frozen=True, array_like=True, tag=32):
+    boot: int
+    number: int
+    turns: tuple[str, ...]
+
+
+class SiloGot(Struct, frozen=True, array_like=True, tag=33):
+    boot: int
+    number: int
+    items: tuple[tuple[str, bytes], ...]
+
+
+OUTER = (
+    Hello, Directory, Renew, Grant, AskRing, Told, RoutingAsk, RoutingTell, SiloPut, SiloDone, SiloGet, SiloGot)
--- /dev/null
+++ b/frostpost/hedgerow/places.py
@@ -0,0 +1,16 @@
+from msgspec import Struct
+
+
+class Member(Struct, frozen=True, array_like=True, order=True):
+    name: str
+    boot: int
+
+
+class Place(Struct, frozen=True, array_like=True):
+    member: Member
+    role: str
+    cell: str
+    host: str
+    port: int
+    httpPort: int
+    speaks: int = 1
--- a/frostpost/hedgerow/words.py
+++ b/frostpost/hedgerow/words.py
@@ -1,14 +1,14 @@
 from msgspec import Struct
 
+from .outer import (
+    AskRing, Directory, Grant, Hello, Renew, RoutingAsk, RoutingTell, SiloDone, SiloGet, SiloGot, SiloPut, Told,
+)
+from .places import Member, Place
+
 VERSION = 1
 SPEAKS = 2
 
 
-class Member(Struct, frozen=True, array_like=True, order=True):
-    name: str
-    boot: int
-
-
 class ConfigurationId(Struct, frozen=True, array_like=True, order=True):
     epoch: int
     proposer: str
@@ -37,16 +37,6 @@
     coming: tuple[tuple[str, ...], ...]
 
 
-class Place(Struct, frozen=True, array_like=True):
-    member: Member
-    role: str
-    cell: str
-    host: str
-    port: int
-    httpPort: int
-    speaks: int = 1
-
-
 class Beat(Struct, frozen=True, array_like=True, tag=1):
     configuration: ConfigurationId
     promised: ConfigurationId
@@ -176,6 +166,8 @@
     Beat | Roster | Propose | TurnAway | Exchange | Plan | Rebroadcast | Complete | Install
     | Submit | Batch | Ack | Safe | Ready | Fetch | Fill | Piece
     | BodyAsk | BodyPiece | NewsAsk | NewsTell
+    | Hello | Directory | Renew | Grant | AskRing | Told | RoutingAsk | RoutingTell
+    | SiloPut | SiloDone | SiloGet | SiloGot
 )
 
 
