--- /dev/null
+++ b/frostpost/canopy/founding.py
@@ -0,0 +1,73 @@
+"""The charter: the names of the founding voters, made once, by one seed, at the first start of the whole system."""
+from msgspec import Struct, msgpack
+
+from frostpost.furrow import disk as furrows
+from frostpost.orchard.news import say
+
+from .context import now_ms
+
+STILL_MS = 700
+FEW_MS = 5000
+encode, decode = msgpack.encode, msgpack.decode
+
+
+class Founding(Struct):
+    """waiting: storage daemons on empty disks at a first start, with when each was first heard."""
+    furrow: object = None
+    waiting: dict[str, int] = {}
+    writing: bool = False
+
+
+def begin(leaf):
+    """Read the charter of this daemon's disk."""
+    if not leaf.settings.data:
+        return
+    furrow, payloads, fault = furrows.open_(leaf.settings.data, "charter", leaf.machine.files)
+    if fault:
+        say(type(fault).__name__, path=fault.path, offset=fault.offset)
+    if payloads:
+        leaf.charter = tuple(decode(payloads[-1]))
+    leaf.extras["founding"] = Founding(furrow)
+
+
+def founder(leaf):
+    """Whether this daemon is the one that may make the charter."""
+    own = f"{leaf.settings.host}:{leaf.settings.port}"
+    first = min(leaf.settings.seeds, key=lambda s: [int(p) for p in s.replace(":", ".").split(".")], default="")
+    return leaf.settings.first_start and own == first
+
+
+def waits(leaf, name):
+    """A storage daemon at its first start asks for the charter."""
+    founding = leaf.extras.get("founding")
+    if founding is not None:
+        founding.waiting.setdefault(name, now_ms(leaf))
+
+
+def tend(leaf):
+    founding = leaf.extras.get("founding")
+    if founding is None or leaf.charter or founding.writing or not founder(leaf):
+        return
+    waiting = founding.waiting
+    if not waiting or now_ms(leaf) - max(waiting.values()) < STILL_MS:
+        return
+    few = len(waiting) < 2 * leaf.settings.tolerated + 1
+    if few and now_ms(leaf) - min(waiting.values()) < FEW_MS:
+        return
+    names, founding.writing = tuple(sorted(waiting)), True
+    leaf.machine.inThread(write, founding.furrow, names).addCallbacks(written, failed, (leaf, names), None, (leaf,))
+
+
+def write(furrow, names):
+    furrows.append(furrow, [encode(names)])
+    furrows.sync(furrow)
+
+
+def written(_, leaf, names):
+    leaf.charter, leaf.extras["founding"].writing = names, False
+    say("charter", voters=list(names))
+
+
+def failed(failure, leaf):
+    leaf.extras["founding"].writing = False
+    say("DiskFault", type=failure.type.__name__)
--- /dev/null
+++ b/frostpost/canopy/lease.py
@@ -0,0 +1,116 @@
+"""A leaf's session with the ring: its lease, the ring's daemons, and the routing that it honours."""
+from msgspec import Struct
+
+from frostpost.hedgerow.outer import Hello, Renew, RoutingAsk
+from frostpost.orchard.news import say
+
+from .context import count, now_ms
+
+RENEWS = 5
+NEVER = -(1 << 40)
+
+
+class Session(Struct):
+    """sequencer: name of the ring's daemon that granted last. until_ms: end of the lease, on this daemon's clock."""
+    sequencer: str = ""
+    until_ms: int = NEVER
+    heard_ms: int = NEVER
+    renewed_ms: int = NEVER
+    greeted_ms: int = NEVER
+    asked_ms: int = NEVER
+    epoch: int = 0
+    voters: tuple[str, ...] = ()
+    version: int = 0
+    honoured: int = 0
+    held: int = 0
+
+
+def session(leaf):
+    if leaf.session is None:
+        leaf.session, leaf.directory = Session(), {}
+    return leaf.session
+
+
+def lease_ok(leaf):
+    """Whether this daemon may act now."""
+    return leaf.session is not None and now_ms(leaf) < leaf.session.until_ms
+
+
+def voters(leaf):
+    """Names of the voters as the last grant told them."""
+    return session(leaf).voters
+
+
+def ring_addresses(leaf):
+    """Name -> "@host:port" of the ring's daemons."""
+    session(leaf)
+    return {name: address_of(place) for name, place in leaf.directory.items()}
+
+
+def address_of(place):
+    return f"@{place.host}:{place.port}"
+
+
+def tend(leaf):
+    """Called every few ten ms: renew the lease, look for the ring where there is none."""
+    held, now = session(leaf), now_ms(leaf)
+    every_ms = leaf.settings.lease_ms // RENEWS
+    if now - held.renewed_ms >= every_ms:
+        renew(leaf)
+    lost = now - held.heard_ms > 2 * every_ms
+    if lost and now - held.greeted_ms >= (every_ms if not leaf.directory else 4 * every_ms):
+        held.greeted_ms = now
+        for seed in leaf.settings.seeds:
+            leaf.links["send"](f"@{seed}", Hello())
+
+
+def renew(leaf):
+    held, now = session(leaf), now_ms(leaf)
+    held.renewed_ms = now
+    message = Renew(now, held.held, held.epoch)
+    everywhere = now - held.heard_ms > 2 * (leaf.settings.lease_ms // RENEWS)
+    for name, address in ring_addresses(leaf).items():
+        if everywhere or name == held.sequencer:
+            leaf.links["send"](address, message)
+
+
+def directed(leaf, places):
+    """Places of the ring's daemons, told by any daemon."""
+    session(leaf)
+    for place in places:
+        if place.role == "storage":
+            leaf.directory[place.member.name] = place
+
+
+def granted(leaf, place, grant):
+    """-> whether the sequencer changed."""
+    held, now = session(leaf), now_ms(leaf)
+    if grant.lease_ms <= 0:
+        if grant.sequencer and now >= held.until_ms and grant.sequencer != held.sequencer:
+            held.sequencer = grant.sequencer
+            return True
+        return False
+    moved = held.sequencer != place.member.name or held.epoch != grant.epoch
+    held.sequencer, held.heard_ms = place.member.name, now
+    held.until_ms = max(held.until_ms, grant.sent_ms + grant.lease_ms)
+    held.voters, held.version, held.honoured = grant.voters, grant.version, grant.honoured
+    if grant.places:
+        leaf.directory = {p.member.name: p for p in grant.places}
+        held.epoch = grant.epoch
+    if grant.version > held.held and now - held.asked_ms >= 100:
+        held.asked_ms = now
+        leaf.links["send"](address_of(place), RoutingAsk(held.held))
+    if moved:
+        say("session", sequencer=held.sequencer, epoch=grant.epoch)
+    return moved
+
+
+def routed(leaf, message):
+    """Take a newer routing in and tell the sequencer at once."""
+    held = session(leaf)
+    if message.version <= held.held:
+        return
+    routing = leaf.extras["routing_from_body"](message.body)
+    leaf.routing, leaf.routing_body, held.held = routing, message.body, message.version
+    count(leaf, "routings")
+    renew(leaf)
--- /dev/null
+++ b/frostpost/canopy/serving.py
@@ -0,0 +1,124 @@
+"""The ring's side of its leaves' sessions: leases, operations handed in, the routing."""
+from msgspec import DecodeError, Struct, msgpack
+
+from frostpost.granary.apply import decodeOp
+from frostpost.hedgerow.outer import AskRing, Grant, Hello, Renew, RoutingAsk, RoutingTell, Told
+from frostpost.hedgerow.state import names, sequencer
+from frostpost.hedgerow.watch import leaseLeftMs
+from frostpost.orchard.context import nowMs
+from frostpost.orchard.heart import ask
+
+ASK_MS = 5000
+GRACE_RATIO = 0.5
+encode = msgpack.Encoder().encode
+
+
+class LeafSeen(Struct):
+    """until_ms: no lease granted to it runs longer, on this daemon's clock."""
+    address: str
+    boot: int
+    version: int
+    until_ms: int
+
+
+class Sessions(Struct):
+    """version_ms: when the routing in force here became so."""
+    leaves: dict[str, LeafSeen] = {}
+    working: set[tuple[str, int, int]] = set()
+    version: int = 0
+    version_ms: int = 0
+
+
+def sequencing(ctx):
+    hedge = ctx.core.hedge
+    return hedge.primary.opened and not hedge.recovery and sequencer(hedge) == hedge.name
+
+
+def voters_of(ctx):
+    hedge = ctx.core.hedge
+    return ctx.core.granary.voters or hedge.voters or hedge.voters0
+
+
+def renewed(ctx, sessions, place, message):
+    """A leaf renews its lease; -> the Grant."""
+    hedge, now = ctx.core.hedge, nowMs(ctx)
+    if not sequencing(ctx):
+        return Grant(message.sent_ms, 0, sequencer(hedge) if hedge.primary.opened else "")
+    held = ctx.core.granary.coppice.routing_version
+    follow(ctx, sessions)
+    seen = sessions.leaves.get(place.member.name)
+    address = f"@{place.host}:{place.port}"
+    if seen is None or seen.boot != place.member.boot:
+        seen = LeafSeen(address, place.member.boot, message.version, 0)
+        sessions.leaves[place.member.name] = seen
+    seen.address, seen.version = address, max(seen.version, message.version)
+    left_ms = leaseLeftMs(hedge, now)
+    behind = seen.version < held and now - sessions.version_ms > hedge.bounds.leaseMs * GRACE_RATIO
+    lease_ms = 0 if behind else left_ms
+    seen.until_ms = max(seen.until_ms, now + lease_ms)
+    epoch = hedge.configuration.id.epoch
+    places = () if message.epoch == epoch else tuple(
+        p for p in (hedge.place, *(hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers)))
+    return Grant(message.sent_ms, max(lease_ms, 1) if left_ms else 0, hedge.name, tuple(voters_of(ctx)),
+                 held, honoured(ctx, sessions), epoch, places)
+
+
+def follow(ctx, sessions):
+    """Spread a routing that has just come in force to all leaves."""
+    coppice = ctx.core.granary.coppice
+    if coppice.routing_version == sessions.version:
+        return
+    sessions.version, sessions.version_ms = coppice.routing_version, nowMs(ctx)
+    if sequencing(ctx):
+        for seen in sessions.leaves.values():
+            if seen.until_ms > nowMs(ctx):
+                ctx.links["send"](seen.address, RoutingTell(coppice.routing_version, coppice.routing_body))
+
+
+def honoured(ctx, sessions):
+    """The newest version that every leaf with a running lease honours; older sequencers' leases are waited out."""
+    hedge, now = ctx.core.hedge, nowMs(ctx)
+    if now - hedge.installedMs < hedge.bounds.leaseMs:
+        return 0
+    running = [s.version for s in sessions.leaves.values() if s.until_ms > now]
+    return min([ctx.core.granary.coppice.routing_version, *running])
+
+
+def received(ctx, sessions, place, body):
+    """A frame of a leaf; -> whether it was one of these messages."""
+    address = f"@{place.host}:{place.port}"
+    match body:
+        case Renew():
+            ctx.links["send"](address, renewed(ctx, sessions, place, body))
+        case AskRing():
+            asked(ctx, sessions, address, body)
+        case RoutingAsk():
+            coppice = ctx.core.granary.coppice
+            if coppice.routing_version > body.version:
+                ctx.links["send"](address, RoutingTell(coppice.routing_version, coppice.routing_body))
+        case Hello():
+            pass
+        case _:
+            return False
+    return True
+
+
+def asked(ctx, sessions, address, message):
+    mark = (address, message.boot, message.number)
+    if mark in sessions.working:
+        return
+    try:
+        op = decodeOp(message.payload)
+    except DecodeError:
+        ctx.links["send"](address, Told(message.boot, message.number, b"", "Unreadable"))
+        return
+    sessions.working.add(mark)
+
+    def decided(result):
+        sessions.working.discard(mark)
+        if result.is_ok():
+            told = Told(message.boot, message.number, encode(result.ok))
+        else:
+            told = Told(message.boot, message.number, b"", type(result.error).__name__)
+        ctx.links["send"](address, told)
+    ask(ctx, op, ASK_MS).addCallback(decided)
--- /dev/null
+++ b/frostpost/canopy/settings.py
@@ -0,0 +1,60 @@
+"""What a daemon is told at its start, and the front that it is handed; both free of any wire's names."""
+from typing import Callable
+
+from msgspec import Struct
+
+from frostpost.drove.words import Wire
+
+Address = tuple[str, int]
+
+
+class DaemonSettings(Struct, frozen=True):
+    """role: edge, core or storage. seeds: inner addresses (host:port) of the daemons that found the fleet."""
+    name: str
+    role: str
+    zone: str
+    host: str
+    port: int
+    front: Address | None = None
+    readiness: Address | None = None
+    control: Address | None = None
+    seeds: tuple[str, ...] = ()
+    first_start: bool = False
+    data: str = ""
+    tolerated: int = 1
+    tolerated_zones: int = 0
+    tolerated_regions: int = 0
+    memory_mb: int = 256
+    max_fds: int = 4096
+    disk_mb: int = 0
+    list_host: str = ""
+    list_port: int = 0
+    list_rate_per_s: float = 44.0
+    list_ms: int = 1200
+    key_window_ms: int = 60000
+    drain_ms: int = 3000
+    grace_ms: int = 8000
+    apply_ms: int = 2000
+    ack_ms: int = 4000
+    catch_up_ms: int = 4800
+    recovery_ms: int = 12000
+    contact_ms: int = 3000
+    loss_slack_ms: int = 200
+    transit_ms: int = 120
+    connection_share: float = 0.12
+    idle_ms: int = 10000
+    lease_ms: int = 1200
+    detect_ms: int = 500
+    tick_ms: int = 500
+    cache_bytes: int = 24 << 20
+
+
+class Front(Struct, frozen=True):
+    """listen(leaf) -> Deferred[list of ports]; fetch_list(leaf) -> Deferred[list[Runner]];
+    routing_from_body(bytes) -> Routing; reread() -> Result[DaemonSettings, SettingsInvalid].
+    """
+    listen: Callable
+    wire: Wire
+    fetch_list: Callable
+    routing_from_body: Callable
+    reread: Callable
--- /dev/null
+++ b/frostpost/canopy/tenders.py
@@ -0,0 +1,81 @@
+"""Voters that change by themselves, one at a time, and storage daemons that are emptied."""
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.coppice.words import Retired
+from frostpost.hedgerow.events import Left, SetVoters
+from frostpost.hedgerow.state import names
+from frostpost.orchard.context import nowMs
+from frostpost.orchard.heart import ask, feed
+from frostpost.orchard.news import say
+
+from .serving import sequencing, voters_of
+
+MISSING = "missing"
+
+
+class Tending(Struct):
+    """away: voters that aren't members, and since when. until_ms: a change is under way."""
+    away: dict[str, int] = {}
+    busy: bool = False
+    left: bool = False
+
+
+def whole(ctx, name):
+    """Whether a member has been refilled and lacks no body."""
+    hedge = ctx.core.hedge
+    if name == hedge.name:
+        return hedge.primary.ready and not hedge.news.get(MISSING, 0)
+    peer = hedge.peers.get(name)
+    if peer is None or peer.configuration != hedge.configuration.id:
+        return False
+    return peer.ready and not peer.news.get(MISSING, 1)
+
+
+def wish(ctx, tending, least, away_ms):
+    """The voters after one safe change, or None if they are right."""
+    voters, present = tuple(voters_of(ctx)), names(ctx.core.hedge.configuration)
+    retiring, now = ctx.core.granary.coppice.retiring, nowMs(ctx)
+    tending.away = {v: tending.away.get(v, now) for v in voters if v not in present}
+    for name in present:
+        if name not in voters and name not in retiring and whole(ctx, name):
+            return tuple(sorted((*voters, name)))
+    if len(voters) <= least:
+        return None
+    leaving = [v for v in voters if v in retiring and all(whole(ctx, n) for n in present if n not in retiring)]
+    gone = [v for v, since_ms in tending.away.items() if now - since_ms >= away_ms]
+    for name in (*leaving, *gone):
+        return tuple(v for v in voters if v != name)
+    return None
+
+
+@inlineCallbacks
+def tend(ctx, tending, least, away_ms):
+    """Called several times a second in every ring daemon."""
+    coppice, hedge = ctx.core.granary.coppice, ctx.core.hedge
+    if coppice.retiring.get(hedge.name) == "completed" and not tending.left:
+        tending.left = True
+        say("retired", name=hedge.name)
+        feed(ctx, Left(nowMs(ctx)))
+    if tending.busy or not sequencing(ctx):
+        return
+    after = wish(ctx, tending, least, away_ms)
+    tending.busy = True
+    try:
+        if after is not None:
+            before = tuple(ctx.core.granary.voters)
+            result = yield ask(ctx, SetVoters(hedge.configuration.id, before, after), 2000)
+            say("voters", before=list(before), after=list(after), decided=result.is_ok())
+        for name in emptied(ctx):
+            yield ask(ctx, Retired(name), 2000)
+    finally:
+        tending.busy = False
+
+
+def emptied(ctx):
+    """Storage daemons asked to leave that are no voters, and whose bodies the others have."""
+    retiring, present = ctx.core.granary.coppice.retiring, names(ctx.core.hedge.configuration)
+    staying = [n for n in present if n not in retiring]
+    if not all(whole(ctx, n) for n in staying):
+        return []
+    return [n for n, state in retiring.items() if state == "in_service" and n not in voters_of(ctx)]
--- /dev/null
+++ b/frostpost/coppice/placement.py
@@ -0,0 +1,69 @@
+"""Which runner takes an attempt, decided at delivery and so the same on every member.
+
+Costs are in prompt tokens: what the runner would have to read anew, and what its running attempts cost in slower
+steps. A runner with all slots taken takes nothing, so that what waits, waits where urgency is known.
+"""
+from .state import RunnerUse
+
+ACTIVE_TOKENS = 1500
+CACHE_TOKENS = 200000
+FORGET_MS = 60000
+
+
+def place(coppice, now_ms, op, attempt=None):
+    """Name of the runner that costs least, its use counted; None where no candidate has a free slot."""
+    previous = attempt.previous if attempt else op.previous
+    turn = coppice.turns.get(previous) if previous else None
+    parts = () if attempt else op.parts
+    best, best_cost = None, 0
+    for candidate in op.candidates:
+        use = coppice.runners.get(candidate.runner)
+        active = use.active if use else 0
+        if active >= candidate.slots:
+            continue
+        held = held_tokens(use, parts)
+        if turn is not None and turn.runner == candidate.runner:
+            held = max(held, turn.tokens)
+        cost = candidate.penalty + active * ACTIVE_TOKENS * 16 // max(1, candidate.slots) - held
+        if best is None or cost < best_cost:
+            best, best_cost = candidate.runner, cost
+    if best is None:
+        return None
+    use = coppice.runners.setdefault(best, RunnerUse())
+    use.active += 1
+    use.used_ms = now_ms
+    if not attempt:
+        read(use, parts, op.cache_tokens or CACHE_TOKENS)
+    return best
+
+
+def held_tokens(use, parts):
+    if use is None:
+        return 0
+    tokens = 0
+    for part, size in parts:
+        if part not in use.parts:
+            break
+        tokens += size
+    return tokens
+
+
+def read(use, parts, most_tokens):
+    for part, size in parts:
+        before = use.parts.pop(part, 0)
+        use.parts[part] = size
+        use.tokens += size - before
+    while use.tokens > most_tokens and len(use.parts) > 1:
+        oldest = next(iter(use.parts))
+        use.tokens -= use.parts.pop(oldest)
+
+
+def leave(coppice, runner):
+    use = coppice.runners.get(runner)
+    if use is not None and use.active:
+        use.active -= 1
+
+
+def forget(coppice, now_ms):
+    for name in [n for n, u in coppice.runners.items() if not u.active and now_ms - u.used_ms > FORGET_MS]:
+        del coppice.runners[name]
--- /dev/null
+++ b/frostpost/coppice/state.py
@@ -0,0 +1,57 @@
+"""The ledger of programs as trees of turns; a pure value that only `apply` changes."""
+from msgspec import Struct
+
+
+class Turn(Struct, array_like=True):
+    """A turn that ended whole. tokens: its prompt and output, which its runner may still hold."""
+    program: str
+    previous: str
+    kept_until_ms: int
+    runner: str = ""
+    tokens: int = 0
+
+
+class Attempt(Struct, array_like=True):
+    program: str
+    amount: int
+    previous: str
+    runner: str
+    until_ms: int
+    prompt_tokens: int = 0
+    placed: bool = True
+
+
+class Account(Struct, array_like=True):
+    """What a program's attempts put out (spent) and may still put out at the most (reserved)."""
+    budget: int
+    spent: int = 0
+    reserved: int = 0
+    touched_ms: int = 0
+
+
+class Key(Struct, array_like=True):
+    attempt: str
+    until_ms: int
+    answer: bytes = b""
+    answered: bool = False
+
+
+class RunnerUse(Struct, array_like=True):
+    """parts: prompt parts this runner has read, least recently used first, with their tokens."""
+    active: int = 0
+    parts: dict[str, int] = {}
+    tokens: int = 0
+    used_ms: int = 0
+
+
+class Coppice(Struct, array_like=True):
+    turns: dict[str, Turn] = {}
+    attempts: dict[str, Attempt] = {}
+    accounts: dict[str, Account] = {}
+    keys: dict[str, Key] = {}
+    runners: dict[str, RunnerUse] = {}
+    tombs: dict[str, int] = {}
+    routing_version: int = 0
+    routing_body: bytes = b""
+    retiring: dict[str, str] = {}
+    expiries: list[tuple[int, str, str]] = []
--- a/frostpost/coppice/words.py
+++ b/frostpost/coppice/words.py
@@ -24,6 +24,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     line: str = ""
     prompt_tokens: int = 0
+    cache_tokens: int = 0
 
 
 class Move(Struct, array_like=True, frozen=True, tag="move"):
--- /dev/null
+++ b/frostpost/drove/keyed.py
@@ -0,0 +1,69 @@
+"""Requests that carry a key: they run once for a key, and repeats get the first one's answer."""
+from msgspec import msgpack
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.canopy.asking import ask, tell
+from frostpost.canopy.context import now_ms
+from frostpost.coppice.words import Claim, Claimed, Disclaim, KeyAnswered, KeyAtWork, Resolve
+
+from .failures import AtWork, BadRequest, Unavailable, Unknown
+from .lookup import hand_over, retry_ms, settle
+from .outcomes import Answer
+
+DISCLAIM_MS = 300
+
+
+def pack(whole):
+    return msgpack.encode((whole.status, whole.headers, whole.body))
+
+
+def unpack(data):
+    return Answer(*msgpack.decode(data, type=tuple[int, list[tuple[bytes, bytes]], bytes]))
+
+
+def ask_ms(leaf, route, until_ms):
+    """How long a request waits for a verdict before it runs."""
+    return max(1, min(until_ms - now_ms(leaf), max(200, route.aim_ms // 4)))
+
+
+@inlineCallbacks
+def keyed(leaf, route, service, call, sink, until_ms, watch):
+    """Serve an idempotent request."""
+    if not call.key:
+        return hand_over(leaf, BadRequest("no key"), sink)
+    key = f"{call.host}|{call.key}"
+    claim = Claim(key, call.attempt, leaf.settings.key_window_ms)
+    result = yield ask(leaf, claim, ask_ms(leaf, route, until_ms))
+    verdict = result.ok if result.is_ok() else None
+    if isinstance(verdict, KeyAtWork):
+        return hand_over(leaf, AtWork(), sink)
+    if isinstance(verdict, KeyAnswered):
+        return hand_over(leaf, unpack(verdict.answer), sink)
+    if not isinstance(verdict, Claimed):
+        tell(leaf, Disclaim(key, call.attempt))
+        return hand_over(leaf, Unavailable(retry_ms(route), "claim"), sink)
+    outcome = yield settle(leaf, route, service, call, until_ms, service.dedupes, None)
+    if isinstance(outcome, Answer):
+        outcome = yield resolve(leaf, key, call, outcome, until_ms)
+    elif outcome.promised:
+        yield disclaim(leaf, key, call)
+    hand_over(leaf, outcome, sink)
+
+
+@inlineCallbacks
+def resolve(leaf, key, call, whole, until_ms):
+    """The answer once it lasts, else a failure without a promise."""
+    resolved = Resolve(key, call.attempt, pack(whole))
+    result = yield ask(leaf, resolved, max(500, until_ms - now_ms(leaf)))
+    if result.is_ok():
+        return whole
+    tell(leaf, resolved)
+    return Unknown("not resolved")
+
+
+@inlineCallbacks
+def disclaim(leaf, key, call):
+    operation = Disclaim(key, call.attempt)
+    result = yield ask(leaf, operation, DISCLAIM_MS)
+    if not result.is_ok():
+        tell(leaf, operation)
--- /dev/null
+++ b/frostpost/drove/lookup.py
@@ -0,0 +1,85 @@
+"""Requests that need no order: safe ones, which may be repeated, and unsafe ones, which run once."""
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.canopy.context import count, now_ms
+
+from . import picking
+from .failures import Overloaded, TimedOut, Unavailable, Unknown
+from .outcomes import Answer, ClientLeft, Late, NotRun, NotSent
+from .run import run_once
+
+
+def retry_ms(route):
+    return max(50, min(route.aim_ms // 4, 1000))
+
+
+def hold_until_ms(leaf, route, until_ms):
+    """How long a request may wait for a place."""
+    return min(until_ms, now_ms(leaf) + route.aim_ms // 4)
+
+
+@inlineCallbacks
+def settle(leaf, route, service, call, until_ms, repeatable, watch):
+    """Deferred Answer, ClientLeft or a failure; only a failure with a promise means that nothing ran."""
+    most = max(route.attempts, 2) if repeatable else max(route.attempts, 1)
+    hold_ms, least_ms = hold_until_ms(leaf, route, until_ms), route.aim_ms // 10
+    tried, sends, maybe, whole, why = [], 0, None, None, ""
+    while sends < most and len(tried) < 2 * most + 2:
+        if until_ms - now_ms(leaf) < max(1, least_ms):
+            break
+        runner = yield picking.place(leaf, route, service, tried, call.attempt, hold_ms)
+        if runner is None:
+            break
+        if watch is not None and watch.left:
+            return ClientLeft()
+        tried.append(runner.id)
+        outcome = yield run_once(leaf, runner, call, call.body, until_ms, watch)
+        if isinstance(outcome, NotSent):
+            why = outcome.why
+            if why == "left":
+                return ClientLeft()
+            if why in ("lease", "late"):
+                break
+            continue
+        sends += 1
+        if isinstance(outcome, NotRun):
+            count(leaf, "turned_away")
+            continue
+        if isinstance(outcome, ClientLeft) or isinstance(outcome, Answer) and not (
+                repeatable and outcome.status >= 500):
+            return outcome
+        if isinstance(outcome, Answer):
+            whole = outcome
+        maybe = TimedOut() if isinstance(outcome, Late) else Unknown(getattr(outcome, "why", ""))
+        if not repeatable or isinstance(outcome, Late):
+            break
+    if whole is not None:
+        return whole
+    if maybe is not None:
+        return maybe
+    if why == "lease":
+        return Unavailable(retry_ms(route), "lease")
+    return Overloaded(retry_ms(route))
+
+
+@inlineCallbacks
+def lookup(leaf, route, service, call, sink, until_ms, watch):
+    """Serve a safe or an unsafe request."""
+    outcome = yield settle(leaf, route, service, call, until_ms, route.kind == "safe", watch)
+    hand_over(leaf, outcome, sink)
+
+
+def hand_over(leaf, outcome, sink):
+    if isinstance(outcome, ClientLeft) or sink.gone():
+        return count(leaf, "client_left")
+    if isinstance(outcome, Answer):
+        return answer(sink, outcome)
+    count(leaf, type(outcome).__name__)
+    sink.failed(outcome)
+
+
+def answer(sink, whole):
+    sink.head(whole.status, whole.headers)
+    if whole.body:
+        sink.data(whole.body)
+    sink.end()
--- /dev/null
+++ b/frostpost/drove/pool.py
@@ -0,0 +1,161 @@
+"""A daemon's own connections to each runner."""
+from collections import deque
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from frostpost.canopy.context import count, now_ms
+from frostpost.canopy.lease import lease_ok
+
+from .connection import Connection
+from .exchange import Exchange
+
+WAITING = 64
+
+
+def setting(leaf, name, otherwise):
+    return getattr(leaf.settings, name, otherwise)
+
+
+class Pool:
+    __slots__ = ("leaf", "runner", "idle", "open", "opening", "waiting", "closing")
+
+    def __init__(self, leaf, runner):
+        self.leaf, self.runner, self.idle, self.waiting = leaf, runner, [], deque()
+        self.open, self.opening, self.closing = 0, 0, False
+
+    def freed(self, connection):
+        """An exchange ended well; its connection serves the next one or rests."""
+        if self.closing:
+            connection.dirty = True
+            return connection.transport.loseConnection()
+        keep_ms = connection.keep_ms
+        if keep_ms > 0:
+            keep_ms = keep_ms - 500 if keep_ms >= 2000 else keep_ms // 2
+        else:
+            keep_ms = setting(self.leaf, "idle_ms", 10_000)
+        connection.idle_until_ms = now_ms(self.leaf) + keep_ms
+        connection.resume()
+        self.idle.append(connection)
+        if self.waiting:
+            self.leaf.reactor.callLater(0, self.serve_waiting)
+
+    def closed(self, connection):
+        self.open -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.serve_waiting()
+
+    def take_idle(self):
+        now = now_ms(self.leaf)
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.idle_until_ms > now and not connection.stale():
+                return connection
+            connection.drop()
+        return None
+
+    def serve_waiting(self):
+        while self.waiting:
+            if self.waiting[0].over:
+                self.waiting.popleft()
+                continue
+            connection = self.take_idle()
+            if connection is None:
+                break
+            write(self, self.waiting.popleft(), connection)
+        wanted = sum(1 for exchange in self.waiting if not exchange.over)
+        while self.opening < wanted and self.open + self.opening < most_connections(self.leaf, self.runner):
+            self.connect()
+
+    def connect(self):
+        self.opening += 1
+        count(self.leaf, "connects")
+        endpoint = TCP4ClientEndpoint(self.leaf.reactor, self.runner.host, self.runner.port,
+                                      timeout=setting(self.leaf, "connect_ms", 1000) / 1000)
+        factory = Factory.forProtocol(lambda: Connection(self))
+        factory.noisy = False
+        endpoint.connect(factory).addCallbacks(self._connected, self._no_connection)
+
+    def _connected(self, connection):
+        self.opening -= 1
+        self.open += 1
+        self.freed(connection)
+        self.serve_waiting()
+
+    def _no_connection(self, failure):
+        self.opening -= 1
+        while self.waiting:
+            exchange = self.waiting.popleft()
+            if not exchange.over:
+                return exchange.not_sent("connect")
+
+    def close(self):
+        """Close what is idle now and the rest as it gets free."""
+        self.closing = True
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.drop()
+        waiting, self.waiting = self.waiting, deque()
+        for exchange in waiting:
+            exchange.not_sent("gone")
+
+
+def most_connections(leaf, runner):
+    service = leaf.routing.services.get(runner.service) if leaf.routing is not None else None
+    share = setting(leaf, "connection_share", 0.5)
+    return max(2, int(service.max_connections * share)) if service is not None else 2
+
+
+def may_send(leaf, exchange):
+    """Why nothing may be sent now, or empty."""
+    runner = leaf.runners.get(exchange.runner.id)
+    if runner is None or runner.draining or (runner.host, runner.port) != (
+            exchange.runner.host, exchange.runner.port):
+        return "gone"
+    if exchange.until_ms <= now_ms(leaf):
+        return "late"
+    return "" if lease_ok(leaf) else "lease"
+
+
+def write(pool, exchange, connection):
+    why = may_send(pool.leaf, exchange)
+    if why:
+        pool.freed(connection)
+        return exchange.not_sent(why)
+    exchange.write_to(connection)
+
+
+def send(leaf, runner, call, body, left_ms, listener):
+    """Send a call to one runner over a connection that is or gets free; see Exchange."""
+    exchange = Exchange(leaf, runner, call, body, now_ms(leaf) + left_ms, listener)
+    pool = leaf.pools.get(runner.id)
+    if pool is None:
+        pool = leaf.pools[runner.id] = Pool(leaf, runner)
+    why = may_send(leaf, exchange)
+    if why or pool.closing or len(pool.waiting) >= WAITING:
+        leaf.reactor.callLater(0, exchange.not_sent, why or "full")
+        return exchange
+    connection = pool.take_idle()
+    if connection is not None:
+        write(pool, exchange, connection)
+    else:
+        pool.waiting.append(exchange)
+        pool.serve_waiting()
+    return exchange
+
+
+def close_pools(leaf, runner_ids):
+    for runner_id in runner_ids:
+        pool = leaf.pools.pop(runner_id, None)
+        if pool is not None:
+            pool.close()
+
+
+def sweep(leaf):
+    """Close connections whose time has passed."""
+    now = now_ms(leaf)
+    for pool in leaf.pools.values():
+        for connection in [c for c in pool.idle if c.idle_until_ms <= now]:
+            pool.idle.remove(connection)
+            connection.drop()
--- /dev/null
+++ b/frostpost/drove/routing.py
@@ -0,0 +1,50 @@
+"""Which route and which service a request belongs to."""
+from zlib import crc32
+
+
+def build_index(routing):
+    """Host -> prefix -> route."""
+    index = {}
+    for route in routing.routes:
+        index.setdefault(route.host.lower(), {})[route.prefix] = route
+    return index
+
+
+def current_index(leaf):
+    held = leaf.extras.get("route_index")
+    if held is None or held[0] is not leaf.routing:
+        held = leaf.extras["route_index"] = (leaf.routing, build_index(leaf.routing))
+    return held[1]
+
+
+def find_route(leaf, host, path):
+    """The host's route with the longest prefix that begins the path, or None."""
+    if leaf.routing is None:
+        return None
+    host = host.lower()
+    index = current_index(leaf)
+    prefixes = index.get(host)
+    if prefixes is None:
+        prefixes = index.get(host.rpartition(":")[0])
+    if prefixes is None:
+        return None
+    end = path.rfind("/")
+    while end >= 0:
+        route = prefixes.get(path[:end + 1])
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
+
+
+def pick_service(routing, route, attempt):
+    """A service by weight, the same one for the same attempt; None when none has weight."""
+    total = sum(weight for _, weight in route.weights)
+    if total <= 0:
+        return None
+    place = crc32(attempt.encode()) % total
+    for name, weight in route.weights:
+        if place < weight:
+            return routing.services.get(name)
+        place -= weight
+    return None
--- /dev/null
+++ b/frostpost/drove/stream.py
@@ -0,0 +1,172 @@
+"""Streams: passed on event by event, never joined from two runs, never ended before they are whole."""
+from msgspec import structs
+from twisted.internet.defer import inlineCallbacks
+
+from frostpost.canopy.context import count, now_ms
+
+from . import picking, turn
+from .events import EventParser
+from .failures import Overloaded, TimedOut, Unavailable, Unknown
+from .lookup import answer, hold_until_ms, retry_ms
+from .outcomes import Answer, ClientLeft, Late, NotRun, NotSent, Whole
+from .run import run_once
+
+PROMISES = (402, 404)
+
+
+class Stream:
+    """One answer under way. passed: events handed to the client. maybe: it may have run somewhere."""
+    __slots__ = ("call", "sink", "watch", "parser", "headed", "passed", "last_id", "data", "keeps", "maybe",
+                 "joined", "spliced")
+
+    def __init__(self, call, sink, watch, keeps):
+        self.call, self.sink, self.watch, self.keeps = call, sink, watch, keeps
+        self.parser, self.headed, self.passed, self.last_id = EventParser(), False, 0, call.last_event
+        self.data, self.maybe, self.joined, self.spliced = [], False, False, False
+
+    def head(self, head):
+        self.parser, self.maybe = EventParser(), True
+        if not self.headed:
+            self.headed = True
+            self.sink.head(head.status, head.headers)
+
+    def heard(self, data):
+        events = self.parser.feed(data)
+        if not events or self.spliced:
+            return
+        passed = []
+        for event in events:
+            if event.id is not None:
+                if self.joined and not rises(self.last_id, event.id):
+                    self.spliced = True
+                    break
+                self.last_id = event.id
+            elif self.joined and event.data is not None:
+                self.spliced = True
+                break
+            passed.append(event.raw)
+            if event.data is not None:
+                self.passed += 1
+                if self.keeps:
+                    self.data.append(event.data)
+        if passed:
+            self.sink.data(b"".join(passed))
+
+    def rest(self):
+        """The bytes after the last whole event of a body that is whole."""
+        rest = self.parser.rest()
+        if rest:
+            self.passed += 1
+            self.sink.data(rest)
+
+
+def rises(last, name):
+    """Whether an event's id follows the last one passed on."""
+    if last.isdigit() and name.isdigit():
+        return int(name) > int(last)
+    return last != name
+
+
+@inlineCallbacks
+def stream(leaf, route, service, call, sink, until_ms, watch):
+    """Serve a request of a streaming route."""
+    if until_ms - now_ms(leaf) < max(1, route.aim_ms // 10):
+        return sink.failed(Overloaded(retry_ms(route)))
+    ordered, runner, body = turn.ordered(route, call), None, call.body
+    if ordered:
+        placed = yield turn.begin(leaf, route, service, call, until_ms)
+        if not isinstance(placed, turn.Placed):
+            count(leaf, type(placed).__name__)
+            return None if watch.left else sink.failed(placed)
+        runner, body = placed.runner, placed.body
+    state = Stream(call, sink, watch, route.retained)
+    outcome = yield send_on(leaf, route, service, state, ordered, runner, body, until_ms)
+    yield finish(leaf, route, service, state, ordered, outcome, until_ms)
+
+
+@inlineCallbacks
+def send_on(leaf, route, service, state, ordered, runner, body, until_ms):
+    """Send to one runner after another while that is allowed; the last outcome, or a failure with a promise."""
+    most = max(route.attempts, 2) if route.resumable else max(route.attempts, 1)
+    tried, sends, call = [], 0, state.call
+    hold_ms, outcome = hold_until_ms(leaf, route, until_ms), None
+    if ordered and runner is None:
+        runner = yield next_runner(leaf, route, service, state, ordered, tried, hold_ms, until_ms)
+    while True:
+        if runner is None and not ordered:
+            runner = yield next_runner(leaf, route, service, state, ordered, tried, hold_ms, until_ms)
+        if not hasattr(runner, "id"):
+            return outcome if state.maybe else runner
+        if state.watch.left:
+            return ClientLeft()
+        tried.append(runner.id)
+        outcome = yield run_once(leaf, runner, call, body, until_ms, state.watch, state.head, state.heard)
+        if isinstance(outcome, NotSent):
+            if outcome.why in ("left", "late"):
+                return ClientLeft() if outcome.why == "left" else Late() if state.maybe else outcome
+            if outcome.why == "lease" and not state.maybe:
+                return Unavailable(retry_ms(route), "lease")
+        else:
+            sends += 1
+            if not isinstance(outcome, NotRun):
+                state.maybe = True
+                if not may_resume(route, state, outcome):
+                    return outcome
+                state.joined = state.passed > 0
+                call = structs.replace(state.call, last_event=state.last_id)
+        if sends >= most or len(tried) > 2 * most + 2 or until_ms - now_ms(leaf) < max(1, route.aim_ms // 10):
+            return outcome
+        runner = yield next_runner(leaf, route, service, state, ordered, tried, hold_ms, until_ms)
+
+
+def may_resume(route, state, outcome):
+    """Whether a stream that broke off may be taken up at another runner."""
+    if not route.resumable or state.spliced or isinstance(outcome, (Answer, Whole, Late, ClientLeft)):
+        return False
+    return state.passed == 0 or state.last_id not in ("", state.call.last_event)
+
+
+@inlineCallbacks
+def next_runner(leaf, route, service, state, ordered, tried, hold_ms, until_ms):
+    """A runner, or the failure when there is none; the ledger moves only what no runner may have run."""
+    if ordered and not state.maybe:
+        name = yield turn.move(leaf, route, service, state.call, tried, until_ms)
+        if not isinstance(name, str):
+            return name
+        return leaf.runners.get(name) or Overloaded(retry_ms(route))
+    if state.maybe:
+        hold_ms = hold_until_ms(leaf, route, until_ms)
+    runner = yield picking.place(leaf, route, service, tried, state.call.attempt, hold_ms)
+    return runner or Overloaded(retry_ms(route))
+
+
+@inlineCallbacks
+def finish(leaf, route, service, state, ordered, outcome, until_ms):
+    """Close the attempt in the ledger and the answer at the client, in that order where it is whole."""
+    sink, call, tokens = state.sink, state.call, state.passed * service.event_tokens
+    if isinstance(outcome, Whole) and not state.spliced:
+        state.rest()
+        tokens = state.passed * service.event_tokens
+        lasts = True
+        if ordered:
+            data = b"".join([call.body, *(part + b"\n" for part in state.data)]) if state.keeps else b""
+            lasts = yield turn.close(leaf, route, call, tokens, data, until_ms)
+        count(leaf, "streams" if lasts else "streams_unkept")
+        return sink.end() if lasts else sink.cut()
+    if ordered and state.maybe:
+        turn.broke_off(leaf, call, tokens)
+    elif ordered:
+        turn.abort(leaf, call)
+    if state.watch.left or isinstance(outcome, ClientLeft):
+        return count(leaf, "client_left")
+    if state.headed:
+        count(leaf, "streams_cut")
+        return sink.cut()
+    count(leaf, type(outcome).__name__)
+    if isinstance(outcome, Answer) and not (ordered and outcome.status in PROMISES):
+        return answer(sink, outcome)
+    if state.maybe:
+        return sink.failed(TimedOut() if isinstance(outcome, Late) else Unknown(getattr(outcome, "why", "")))
+    if isinstance(outcome, (NotSent, NotRun)):
+        outcome = Overloaded(retry_ms(route))
+    return sink.failed(outcome)
--- /dev/null
+++ b/frostpost/drove/turn.py
@@ -0,0 +1,124 @@
+"""What the ledger is asked and told about one attempt at a stream, and the bodies that belong to it."""
+from msgspec import Struct
+from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
+
+from frostpost.canopy.asking import ask, tell
+from frostpost.canopy.context import now_ms
+from frostpost.coppice.words import Abort, Begin, Begun, End, Ended, Move, NoPlace, NoTurn, TokensSpent
+from frostpost.silo.client import fetch, put
+
+from . import picking
+from .failures import BudgetSpent, Overloaded, Unavailable, UnknownTurn
+from .lookup import hold_until_ms, retry_ms
+
+LEAST_END_MS = 1000
+LEAST_ASK_MS = 200
+PAUSE_MS = 20
+
+
+class Placed(Struct, frozen=True):
+    """A runner, and the whole body that it is to get."""
+    runner: object
+    body: bytes
+
+
+def ordered(route, call):
+    """Whether the ledger has to know of the attempt."""
+    return bool(call.program) or call.budget > 0 or route.retained
+
+
+def pause(leaf, wait_ms):
+    woken = Deferred()
+    leaf.reactor.callLater(wait_ms / 1000, woken.callback, None)
+    return woken
+
+
+@inlineCallbacks
+def decide(leaf, route, service, tried, operation, until_ms):
+    """The verdict, asked for again while no candidate has room; an Unavailable when there is none."""
+    hold_ms = hold_until_ms(leaf, route, until_ms)
+    while True:
+        left_ms = until_ms - now_ms(leaf)
+        offered = picking.candidates(leaf, service, tried)
+        verdict = NoPlace(PAUSE_MS)
+        if left_ms <= 0:
+            return verdict
+        if offered:
+            wait_ms = max(1, min(left_ms, max(LEAST_ASK_MS, route.aim_ms // 4)))
+            result = yield ask(leaf, operation(offered, left_ms), wait_ms)
+            if not result.is_ok():
+                return Unavailable(retry_ms(route), "order")
+            verdict = result.ok
+        if not isinstance(verdict, NoPlace):
+            return verdict
+        wait_ms = max(1, min(verdict.wait_ms, PAUSE_MS))
+        if now_ms(leaf) + wait_ms >= hold_ms:
+            return verdict
+        yield pause(leaf, wait_ms)
+
+
+@inlineCallbacks
+def begin(leaf, route, service, call, until_ms):
+    """Placed, or a failure; after a failure the ledger holds nothing of the attempt."""
+    def operation(offered, left_ms):
+        return Begin(
+            attempt=call.attempt, program=call.program or call.attempt, budget=call.budget,
+            amount=call.most_tokens, previous=call.previous, left_ms=left_ms, candidates=offered,
+            parts=call.parts, line=call.line, prompt_tokens=call.prompt_tokens)
+
+    verdict = yield decide(leaf, route, service, (), operation, until_ms)
+    if isinstance(verdict, TokensSpent):
+        return BudgetSpent()
+    if isinstance(verdict, NoTurn):
+        return UnknownTurn()
+    if isinstance(verdict, NoPlace):
+        return Overloaded(retry_ms(route))
+    if not isinstance(verdict, Begun):
+        abort(leaf, call)
+        return verdict if isinstance(verdict, Unavailable) else Unavailable(retry_ms(route), "verdict")
+    body = call.body
+    if verdict.chain:
+        fetched = yield fetch(leaf, tuple(verdict.chain), max(1, until_ms - now_ms(leaf)))
+        if not fetched.is_ok() or len(fetched.ok) != len(verdict.chain):
+            abort(leaf, call)
+            return Unavailable(retry_ms(route), "bodies")
+        body = b"".join(fetched.ok) + call.body
+    return Placed(leaf.runners.get(verdict.runner), body)
+
+
+@inlineCallbacks
+def move(leaf, route, service, call, tried, until_ms):
+    """The id of another runner for an attempt that surely wasn't run, or a failure; the caller aborts it then."""
+    def operation(offered, _left_ms):
+        return Move(call.attempt, offered)
+
+    verdict = yield decide(leaf, route, service, tried, operation, until_ms)
+    if isinstance(verdict, Begun) and verdict.runner not in tried:
+        return verdict.runner
+    return verdict if isinstance(verdict, Unavailable) else Overloaded(retry_ms(route))
+
+
+def abort(leaf, call):
+    tell(leaf, Abort(call.attempt))
+
+
+def broke_off(leaf, call, tokens):
+    """It ended without a whole answer, having put out these tokens."""
+    tell(leaf, End(call.attempt, tokens, keep_ms=0))
+
+
+@inlineCallbacks
+def close(leaf, route, call, tokens, data, until_ms):
+    """True once the turn lasts: its body on a majority's disks and its end decided."""
+    wait_ms = max(LEAST_END_MS, until_ms - now_ms(leaf))
+    keep_ms = route.keep_ms if route.retained else 0
+    end = End(call.attempt, tokens, keep_ms=keep_ms, size=len(data) if keep_ms else 0)
+    asked = [ask(leaf, end, wait_ms)]
+    if keep_ms:
+        asked.append(put(leaf, call.attempt, data, wait_ms))
+    results = yield gatherResults(asked)
+    lasts = all(result.is_ok() for result in results)
+    if not (results[0].is_ok() and isinstance(results[0].ok, Ended)):
+        lasts = False
+        tell(leaf, end if not keep_ms or results[1].is_ok() else End(call.attempt, tokens))
+    return lasts
--- a/frostpost/granary/apply.py
+++ b/frostpost/granary/apply.py
@@ -2,6 +2,7 @@
 
 from msgspec import msgpack
 
+from frostpost.coppice import apply as coppices
 from . import configs, duties, keys, programs
 from .state import Granary
 from .words import (
@@ -71,6 +72,9 @@
             return voters_(granary, entry, op)
         case Ballot():
             return duties.ballot(granary, entry, op)
+        case _:
+            members = tuple(m.name for m in granary.members)
+            return coppices.act(granary.coppice, granary.clockMs, members, granary.voters, op)
 
 
 def tick(granary, entry, op):
@@ -81,6 +85,7 @@
     while granary.expiries and granary.expiries[0][0] <= granary.clockMs:
         _, kind, name = heappop(granary.expiries)
         EXPIRE[kind](granary, name)
+    coppices.expire(granary.coppice, granary.clockMs)
     return Done(entry.index)
 
 
--- a/frostpost/granary/state.py
+++ b/frostpost/granary/state.py
@@ -1,5 +1,6 @@
-from msgspec import Struct
+from msgspec import Struct, field
 
+from frostpost.coppice.state import Coppice
 from frostpost.hedgerow.words import Member
 from .words import Claim, Duty, Mark, Program, Reservation, Runner
 
@@ -24,3 +25,4 @@
     fired: dict[str, int] = {}
     rules: int = 1
     past: dict[str, list[Mark]] = {}
+    coppice: Coppice = field(default_factory=Coppice)
--- a/frostpost/granary/words.py
+++ b/frostpost/granary/words.py
@@ -1,5 +1,6 @@
 from msgspec import Struct
 
+from frostpost.coppice.words import CoppiceOp, CoppiceVerdict
 from frostpost.hedgerow.events import Open, SetVoters
 from frostpost.hedgerow.words import Member
 
@@ -166,6 +167,7 @@
 Op = (
     Open | Tick | Reserve | Settle | Release | ClaimKey | Finish | Unclaim | Runners | Drain
     | SetConfig | Fire | Look | Ballot | SetVoters | SetMany | Rules
+    | CoppiceOp
 )
 
 
@@ -236,4 +238,5 @@
 Verdict = (
     Done | Reserved | Won | Shared | ConfigSet | BudgetSpent | TurnOpen | NoRunner | StaleConfig
     | KeyReused | NotHeld | Fenced | VotersSet | ManySet
+    | CoppiceVerdict
 )
--- a/frostpost/hedgerow/outer.py
+++ b/frostpost/hedgerow/outer.py
@@ -15,9 +15,11 @@
 
 
 class Renew(Struct, frozen=True, array_like=True, tag=24):
-    """A leaf asks for its lease and tells which routing it honours; sent_ms is on its own clock."""
+    """A leaf asks for its lease and tells which routing it honours; sent_ms is on its own clock.
+    epoch: the ring's configuration whose places it knows."""
     sent_ms: int
     version: int
+    epoch: int = 0
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=25):
@@ -28,6 +30,8 @@
     voters: tuple[str, ...] = ()
     version: int = 0
     honoured: int = 0
+    epoch: int = 0
+    places: tuple[Place, ...] = ()
 
 
 class AskRing(Struct, frozen=True, array_like=True, tag=26):
--- a/frostpost/hedgerow/watch.py
+++ b/frostpost/hedgerow/watch.py
@@ -72,3 +72,13 @@
             present.add(name)
     voters = hedge.voters or hedge.voters0
     return sum(v in present for v in voters) * 2 > len(voters)
+
+
+def leaseLeftMs(hedge, nowMs):
+    """How long this daemon's own lease runs on; 0 if it has none."""
+    if not leaseOk(hedge, nowMs):
+        return 0
+    voters = hedge.voters or hedge.voters0
+    granted = sorted((nowMs if v == hedge.name else hedge.peers[v].grantedMs if v in hedge.peers else -(1 << 40)
+                      for v in voters), reverse=True)
+    return max(0, hedge.bounds.leaseMs - (nowMs - granted[len(voters) // 2]))
--- a/frostpost/orchard/heart.py
+++ b/frostpost/orchard/heart.py
@@ -2,6 +2,7 @@
 from msgspec import Struct, msgpack
 from twisted.internet.defer import Deferred
 
+from frostpost.coppice.words import Abort, Disclaim, End, Resolve
 from frostpost.gate.faults import NoPrimary, Overfilled, Undecided
 from frostpost.granary.words import Finish, Release, Reserved, Settle, Unclaim, Won
 from frostpost.hedgerow.events import (
@@ -13,7 +14,7 @@
 from .news import say
 
 TICK_MS = 20
-ENDS = (Settle, Release, Finish, Unclaim)
+ENDS = (Settle, Release, Finish, Unclaim, End, Abort, Resolve, Disclaim)
 encode = msgpack.Encoder().encode
 
 
--- a/frostpost/orchard/links.py
+++ b/frostpost/orchard/links.py
@@ -1,3 +1,4 @@
+import socket
 from collections import deque
 
 from msgspec import DecodeError, msgpack
@@ -5,6 +6,7 @@
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 
+from frostpost.hedgerow.outer import RoutingTell, SiloGot, SiloPut
 from frostpost.hedgerow.words import BodyPiece, Frame, Piece, VERSION
 from .context import count
 from .heart import received
@@ -14,6 +16,14 @@
 decode = msgpack.Decoder(Frame).decode
 MOST = 64 << 20
 QUEUED = 8 << 20
+BULK = (Piece, BodyPiece, SiloPut, SiloGot, RoutingTell)
+SILENT_MS = 1000
+
+
+def endSilence(transport):
+    handle = getattr(transport, "getHandle", lambda: None)()
+    if hasattr(handle, "setsockopt"):
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
 
 
 class Ear(Int32StringReceiver):
@@ -35,7 +45,7 @@
         if frame.to not in ("", ctx.place.member.name) or barred(ctx, frame.place.member.name):
             count(ctx, "misdirected")
             return
-        received(ctx, frame)
+        self.factory.hear(ctx, frame)
 
 
 class Mouth(Int32StringReceiver):
@@ -43,6 +53,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        endSilence(self.transport)
         self.transport.registerProducer(self, True)
         self.link.mouth, self.link.paused = self, False
         self.link.drain()
@@ -121,9 +132,9 @@
     return name in ctx.hook.get("cut", ())
 
 
-def listen(ctx):
+def listen(ctx, hear=received):
     factory = Factory.forProtocol(Ear)
-    factory.ctx = ctx
+    factory.ctx, factory.hear = ctx, hear
     settings = ctx.settings
     return TCP4ServerEndpoint(
         ctx.reactor, settings.port, interface=settings.host).listen(factory)
@@ -141,7 +152,7 @@
             if peer is None or barred(ctx, to):
                 return
             host, port, name = peer.place.host, peer.place.port, to
-        bulk = isinstance(body, (Piece, BodyPiece))
+        bulk = isinstance(body, BULK)
         key = (host, int(port), bulk)
         link = links.get(key)
         if link is None:
--- /dev/null
+++ b/frostpost/platform/listening.py
@@ -0,0 +1,36 @@
+"""The addresses that a role serves, and the front that the product is handed."""
+from twisted.internet.defer import maybeDeferred
+
+from frostpost.canopy.settings import Front
+
+from . import control, front, readiness
+from .listing import fetch_list
+from .routing import routing_from_body
+from .settings import read
+from .wire import wire
+
+BACKLOG = 1024
+
+
+def open_ports(leaf, serve=None):
+    """Listen on every address that the settings name; the front's server becomes `leaf.front`."""
+    settings, ports = leaf.settings, []
+
+    def listen(address, server):
+        ports.append(leaf.reactor.listenTCP(address[1], server, backlog=BACKLOG, interface=address[0]))
+    if settings.front:
+        if serve is None:
+            from frostpost.drove.serve import serve
+        leaf.front = front.server(leaf, serve)
+        listen(settings.front, leaf.front)
+    if settings.readiness:
+        listen(settings.readiness, readiness.server(leaf))
+    if settings.control:
+        listen(settings.control, control.server(leaf))
+    return ports
+
+
+def make_front(path=None, role=None):
+    """The platform's `Front`."""
+    return Front(listen=lambda leaf: maybeDeferred(open_ports, leaf), wire=wire(), fetch_list=fetch_list,
+                 routing_from_body=routing_from_body, reread=lambda: read(path, role))
--- /dev/null
+++ b/frostpost/platform/listing.py
@@ -0,0 +1,107 @@
+"""The platform's list of runners."""
+from urllib.parse import quote
+
+from msgspec import DecodeError, json
+from twisted.internet.defer import inlineCallbacks
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from frostpost.drove.words import Runner
+
+from .settings import address_of
+
+PAGE_S, MOST_PAGES, KEPT_S, REFUSED_RETRY_MS = 1.0, 1000, 30, 500
+
+
+class ListRefused(Exception):
+    """Too many calls for the platform's rate; come back after retry_ms."""
+
+    def __init__(self, retry_ms=REFUSED_RETRY_MS):
+        super().__init__(retry_ms)
+        self.retry_ms = retry_ms
+
+
+class ListBroken(Exception):
+    """An answer that is no page of the list."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
+def runner_of(entry):
+    """Runner of one entry, or None."""
+    try:
+        host, port = address_of(entry["address"])
+        slots, name, service, zone = entry["capacity"], entry["id"], entry["target"], entry.get("zone") or ""
+    except (KeyError, TypeError, AttributeError):
+        return None
+    whole = isinstance(slots, int) and not isinstance(slots, bool) and slots >= 0
+    if not (whole and isinstance(name, str) and name and isinstance(service, str) and service):
+        return None
+    return Runner(id=name, service=service, host=host, port=port, zone=str(zone), slots=slots,
+                  draining=entry.get("state") == "draining")
+
+
+def read_page(body):
+    """(runners, next page's token or None); raises ListBroken when it is no page."""
+    try:
+        page = json.decode(body)
+    except (DecodeError, UnicodeDecodeError):
+        raise ListBroken(200) from None
+    entries = page.get("instances") if isinstance(page, dict) else None
+    if not isinstance(entries, list):
+        raise ListBroken(200)
+    token = page.get("next-token")
+    return [runner for entry in entries if (runner := runner_of(entry)) is not None], token or None
+
+
+def agent_of(leaf):
+    agent = leaf.extras.get("list_agent")
+    if agent is None:
+        pool = HTTPConnectionPool(leaf.reactor, persistent=True)
+        pool.maxPersistentPerHost, pool.cachedConnectionTimeout = 1, KEPT_S
+        agent = leaf.extras["list_agent"] = Agent(leaf.reactor, connectTimeout=PAGE_S, pool=pool)
+    return agent
+
+
+def retry_ms_of(response):
+    values = response.headers.getRawHeaders(b"Retry-After") or [b""]
+    try:
+        return max(1, int(float(values[0]) * 1000))
+    except (ValueError, OverflowError):
+        return REFUSED_RETRY_MS
+
+
+@inlineCallbacks
+def fetch_page(leaf, token):
+    settings = leaf.settings
+    url = f"http://{settings.list_host}:{settings.list_port}/instances"
+    if token:
+        url += f"?page-token={quote(str(token), safe='')}"
+    response = yield agent_of(leaf).request(b"GET", url.encode()).addTimeout(PAGE_S, leaf.reactor)
+    body = yield readBody(response).addTimeout(PAGE_S, leaf.reactor)
+    if response.code == 429:
+        raise ListRefused(retry_ms_of(response))
+    if response.code != 200:
+        raise ListBroken(response.code)
+    return read_page(body)
+
+
+@inlineCallbacks
+def fetch_list(leaf):
+    """Deferred[list[Runner]], all pages; fails with ListRefused, ListBroken or a connection's own error."""
+    found, token = {}, None
+    for _ in range(MOST_PAGES):
+        runners, token = yield fetch_page(leaf, token)
+        for runner in runners:
+            if runner.id not in found or runner.draining:
+                found[runner.id] = runner
+        if token is None:
+            leaf.extras["list_seen"] = True
+            return list(found.values())
+    raise ListBroken(200)
+
+
+def seen_list(leaf):
+    """Whether the whole list has been fetched at least once."""
+    return leaf.extras.get("list_seen", False)
--- /dev/null
+++ b/frostpost/platform/main.py
@@ -0,0 +1,45 @@
+"""One daemon on the users' machines: `python3 -m frostpost.platform.main [ROLE] [--check]`."""
+import sys
+
+from msgspec import json
+
+from .settings import ROLES, read
+
+
+def parse_flags():
+    """(role, settings file, check only); the plain way of starting needs no parser."""
+    if len(sys.argv) == 1 or len(sys.argv) == 2 and sys.argv[1] in ROLES:
+        return (sys.argv[1:] or [None])[0], None, False
+    from typing import Annotated
+
+    import cappa
+    from msgspec import Struct
+
+    class Flags(Struct):
+        role: Annotated[str | None, cappa.Arg(help="edge, core or storage; the settings tell it otherwise")] = None
+        settings: Annotated[str | None, cappa.Arg(long=True, help="settings file, for that of the environment")] = None
+        check: Annotated[bool, cappa.Arg(long=True, help="print what the settings become, and stop")] = False
+    command = cappa.command(Flags, name="frostpost", help="Run one frostpost daemon on the users' machines.")
+    flags = cappa.parse(command)
+    return flags.role, flags.settings, flags.check
+
+
+def main():
+    role, path, check = parse_flags()
+    result = read(path, role)
+    if result.is_error():
+        print(f"{type(result.error).__name__}: {result.error.path}: {result.error.text}", file=sys.stderr)
+        return 78
+    if check:
+        print(json.format(json.encode(result.ok), indent=2).decode())
+        return 0
+    from frostpost.canopy.assembly import run
+    from frostpost.orchard.news import begin
+
+    from .listening import make_front
+    begin()
+    return run(result.ok, make_front(path, role))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/frostpost/silo/client.py
@@ -0,0 +1,179 @@
+"""An edge's side of the silo: bodies put on a majority of the voters, and fetched from any ring daemon."""
+from expression import Error, Ok
+from msgspec import Struct
+from twisted.internet.defer import Deferred, succeed
+
+from frostpost.canopy import lease
+from frostpost.drove.failures import Unavailable
+from frostpost.hedgerow.outer import SiloDone, SiloGet, SiloGot, SiloPut
+from .cache import cache_of, cached, remember
+from .serving import cut_short
+
+RESEND_MS = 300
+ASK_OTHER_MS = 150
+ASK_AGAIN_MS = 450
+RETRY_MS = 1000
+
+
+class Put(Struct):
+    number: int
+    turn: str
+    data: bytes
+    result: Deferred
+    synced: set[str] = set()
+    timers: dict[str, object] = {}
+
+
+class Fetch(Struct):
+    """exhausted: the daemons that have said that they lack all of what is still wanted."""
+    number: int
+    turns: tuple[str, ...]
+    found: dict[str, bytes]
+    wanted: dict[str, None]
+    result: Deferred
+    asked: list[str] = []
+    exhausted: set[str] = set()
+    timers: dict[str, object] = {}
+
+
+class Putting(Struct):
+    number: int = 0
+    puts: dict[int, Put] = {}
+    fetches: dict[int, Fetch] = {}
+
+
+def putting(leaf):
+    if not isinstance(leaf.putting, Putting):
+        leaf.putting = Putting()
+    return leaf.putting
+
+
+def put(leaf, turn, data, wait_ms):
+    """-> Deferred[Result[None, Unavailable]]: Ok once a majority of the voters has synced the body."""
+    state = putting(leaf)
+    state.number += 1
+    job = Put(state.number, turn, data, Deferred(lambda _: drop(state.puts, job)))
+    state.puts[job.number] = job
+    later(leaf, job, "end", wait_ms, lambda: end(
+        state.puts, job, Error(Unavailable(RETRY_MS, "body not synced by a majority of the voters"))))
+    send_puts(leaf, job)
+    return job.result
+
+
+def send_puts(leaf, job):
+    later(leaf, job, "resend", RESEND_MS, lambda: send_puts(leaf, job))
+    message = SiloPut(leaf.place.member.boot, job.number, job.turn, job.data)
+    for name, address in lease.ring_addresses(leaf).items():
+        if name not in job.synced:
+            leaf.links["send"](address, message)
+
+
+def fetch(leaf, turns, wait_ms):
+    """-> Deferred[Result[tuple[bytes, ...], Unavailable]], in the order asked for."""
+    cache, found = cache_of(leaf), {}
+    for turn in turns:
+        data = cached(cache, turn)
+        if data is not None:
+            found[turn] = data
+    wanted = {turn: None for turn in turns if turn not in found}
+    if not wanted:
+        return succeed(Ok(tuple(found[turn] for turn in turns)))
+    state = putting(leaf)
+    state.number += 1
+    job = Fetch(state.number, tuple(turns), found, wanted, Deferred(lambda _: drop(state.fetches, job)))
+    state.fetches[job.number] = job
+    later(leaf, job, "end", wait_ms, lambda: out_of_reach(leaf, job))
+    ask_next(leaf, job)
+    return job.result
+
+
+def ask_next(leaf, job):
+    names = sorted(lease.ring_addresses(leaf))
+    fresh = [name for name in names if name not in job.asked]
+    again = [name for name in job.asked if name in names and name not in job.exhausted]
+    if names and not fresh and not again:
+        out_of_reach(leaf, job)
+        return
+    wait_ms = ASK_OTHER_MS if len(fresh) > 1 or not names else ASK_AGAIN_MS
+    later(leaf, job, "other", wait_ms, lambda: ask_next(leaf, job))
+    if names:
+        ask(leaf, job, fresh[job.number % len(fresh)] if fresh else again[0])
+
+
+def ask(leaf, job, name):
+    if name in job.asked:
+        job.asked.remove(name)
+    job.asked.append(name)
+    address = lease.ring_addresses(leaf).get(name)
+    if address is not None:
+        leaf.links["send"](address, SiloGet(leaf.place.member.boot, job.number, tuple(job.wanted)))
+
+
+def out_of_reach(leaf, job):
+    end(putting(leaf).fetches, job, Error(Unavailable(RETRY_MS, "bodies out of reach")))
+
+
+def received(leaf, name, body):
+    """Takes SiloDone and SiloGot from the ring daemon of that name; -> whether it was one of them."""
+    if not isinstance(body, (SiloDone, SiloGot)):
+        return False
+    state = putting(leaf)
+    if body.boot == leaf.place.member.boot:
+        if isinstance(body, SiloDone) and body.number in state.puts:
+            done(leaf, state.puts[body.number], name, body.synced)
+        elif isinstance(body, SiloGot) and body.number in state.fetches:
+            got(leaf, state.fetches[body.number], name, body.items)
+    return True
+
+
+def done(leaf, job, name, synced):
+    if not synced:
+        return
+    job.synced.add(name)
+    voters = lease.voters(leaf)
+    if sum(voter in job.synced for voter in voters) * 2 > len(voters):
+        remember(cache_of(leaf), job.turn, job.data)
+        end(putting(leaf).puts, job, Ok(None))
+
+
+def got(leaf, job, name, items):
+    for turn, data in items:
+        if turn in job.wanted:
+            del job.wanted[turn]
+            job.found[turn] = data
+            remember(cache_of(leaf), turn, data)
+    if not job.wanted:
+        end(putting(leaf).fetches, job, Ok(tuple(job.found[turn] for turn in job.turns)))
+    elif cut_short(items):
+        ask(leaf, job, name)
+    elif name not in job.exhausted:
+        job.exhausted.add(name)
+        answered(leaf, job)
+
+
+def answered(leaf, job):
+    names = lease.ring_addresses(leaf).keys()
+    if names <= job.exhausted:
+        out_of_reach(leaf, job)
+    elif not names <= set(job.asked):
+        ask_next(leaf, job)
+
+
+def later(leaf, job, what, wait_ms, call):
+    timer = job.timers.pop(what, None)
+    if timer is not None and timer.active():
+        timer.cancel()
+    job.timers[what] = leaf.reactor.callLater(max(0, wait_ms) / 1000, call)
+
+
+def drop(jobs, job):
+    jobs.pop(job.number, None)
+    for timer in job.timers.values():
+        if timer.active():
+            timer.cancel()
+
+
+def end(jobs, job, result):
+    if job.number in jobs:
+        drop(jobs, job)
+        job.result.callback(result)
--- /dev/null
+++ b/frostpost/silo/segments.py
@@ -0,0 +1,127 @@
+"""Segment files of the silo: scanned when opened, written in a thread, read at an offset."""
+import os
+from contextlib import suppress
+from typing import Callable
+
+from msgspec import DecodeError, Struct, ValidationError, msgpack
+
+from frostpost.furrow import disk as furrows
+from frostpost.orchard.machine import Files
+
+encode = msgpack.Encoder().encode
+decode = msgpack.Decoder(tuple[str, bytes]).decode
+
+
+class SiloFiles(Files, frozen=True):
+    pread: Callable = os.pread
+    unlink: Callable = os.unlink
+    listdir: Callable = os.listdir
+
+
+class Log(Struct):
+    """The open segment; once opened, touched only by the one batch under way."""
+    folder: str
+    files: SiloFiles
+    segment_bytes: int
+    number: int = 0
+    furrow: furrows.Furrow | None = None
+
+
+class Written(Struct):
+    """What of a batch is synced, the sizes of the segments touched, and what stopped the rest."""
+    spots: dict[str, tuple[int, int, int]]
+    sizes: dict[int, int]
+    fault: OSError | None = None
+
+
+def name_of(number):
+    return f"{number:08d}"
+
+
+def open_log(folder, files, segment_bytes):
+    """-> log, index, sizes by segment number, faults; the last segment is the open one."""
+    log, index, sizes, faults = Log(folder, files, segment_bytes), {}, {}, []
+    files.makedirs(folder, exist_ok=True)
+    furrows.syncFolder(files, os.path.dirname(folder))
+    for number in sorted(int(name) for name in files.listdir(folder) if name.isdigit()):
+        close_log(log)
+        log.furrow, payloads, fault = furrows.open_(folder, name_of(number), files)
+        log.number, sizes[number] = number, log.furrow.size
+        index.update(spots_of(number, payloads))
+        if fault is not None:
+            faults.append(fault)
+    return log, index, sizes, faults
+
+
+def spots_of(number, payloads):
+    spots, offset = {}, 0
+    for payload in payloads:
+        length = furrows.HEAD.size + len(payload)
+        with suppress(DecodeError, ValidationError):
+            spots[decode(payload)[0]] = (number, offset, length)
+        offset += length
+    return spots
+
+
+def roll(log):
+    close_log(log)
+    log.furrow, _, _ = furrows.open_(log.folder, name_of(log.number + 1), log.files)
+    log.number += 1
+
+
+def write_batch(log, batch):
+    """Appends and syncs (turn, data) pairs; runs in a thread and never raises an OSError."""
+    written, at = Written({}, {}), 0
+    try:
+        while at < len(batch):
+            if log.furrow is None or log.furrow.size >= log.segment_bytes:
+                roll(log)
+            chunk, spots, offset = [], {}, log.furrow.size
+            while at < len(batch) and (not chunk or offset < log.segment_bytes):
+                chunk.append(encode(batch[at]))
+                length = furrows.HEAD.size + len(chunk[-1])
+                spots[batch[at][0]] = (log.number, offset, length)
+                offset, at = offset + length, at + 1
+            furrows.append(log.furrow, chunk)
+            furrows.sync(log.furrow)
+            written.spots.update(spots)
+            written.sizes[log.number] = log.furrow.size
+    except OSError as fault:
+        written.fault = fault
+        mend(log)
+    return written
+
+
+def mend(log):
+    if log.furrow is not None:
+        try:
+            log.files.ftruncate(log.furrow.fd, log.furrow.size)
+        except OSError:
+            close_log(log)
+
+
+def close_log(log):
+    if log.furrow is not None:
+        with suppress(OSError):
+            furrows.close(log.furrow)
+        log.furrow = None
+
+
+def read_spot(log, spot):
+    """(turn, data) of a record, or None where its checksum is wrong or it can't be read."""
+    number, offset, length = spot
+    try:
+        fd = log.files.open(os.path.join(log.folder, name_of(number)), os.O_RDONLY)
+        try:
+            raw = log.files.pread(fd, length, offset)
+        finally:
+            log.files.close(fd)
+    except OSError:
+        return None
+    found = furrows.readAt(raw, 0)
+    if found is None or found[2] != length:
+        return None
+    try:
+        return decode(found[1])
+    except (DecodeError, ValidationError):
+        return None
--- /dev/null
+++ b/tests/test_drove_parts.py
@@ -0,0 +1,72 @@
+import pytest
+
+from test_drove_stage import Stage, a_route, a_runner
+
+from frostpost.drove.events import EventParser
+from frostpost.drove.outcomes import Broken, NotSent
+from frostpost.drove.parsing import ResponseParser
+from frostpost.drove.picking import candidates, ended, pick, sent, usable
+from frostpost.drove.routing import find_route, pick_service
+
+WIRE = b"id: 1\ndata: a\ndata:  b\n\n:note\r\n\r\nid: 2\r\ndata:c\r\n\r\ndata: part"
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 7, 1000])
+def test_events_are_read_whole_however_they_are_cut(step):
+    parser, events = EventParser(), []
+    for at in range(0, len(WIRE), step):
+        events += parser.feed(WIRE[at:at + step])
+    assert [(e.id, e.data) for e in events] == [("1", b"a\n b"), (None, None), ("2", b"c")]
+    assert b"".join(e.raw for e in events) + parser.rest() == WIRE
+    assert parser.rest() == b"data: part"
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    stage = Stage([a_route(prefix="/a/"), a_route(name="long", prefix="/a/b/"), a_route(host="other", prefix="/")])
+    assert find_route(stage.leaf, "H:80", "/a/b/c").name == "long"
+    assert find_route(stage.leaf, "h", "/a/bc").prefix == "/a/"
+    assert find_route(stage.leaf, "h", "/b/c") is None
+    assert find_route(stage.leaf, "none", "/a/") is None
+
+
+def test_services_are_picked_by_weight_and_the_same_way_again():
+    route = a_route(weights=(("s", 1), ("t", 3)))
+    stage = Stage([route])
+    names = [pick_service(stage.leaf.routing, route, f"a{i}").name for i in range(400)]
+    assert names == [pick_service(stage.leaf.routing, route, f"a{i}").name for i in range(400)]
+    assert 240 < names.count("t") < 360
+
+
+def test_the_least_loaded_runner_is_picked_and_full_ones_are_not():
+    stage = Stage([a_route()], [a_runner("r1", slots=1), a_runner("r2", slots=4)])
+    leaf, service = stage.leaf, stage.leaf.routing.services["s"]
+    sent(leaf, leaf.runners["r1"])
+    assert pick(leaf, service).id == "r2"
+    sent(leaf, leaf.runners["r1"])
+    assert pick(leaf, service, tried=("r2",)) is None
+
+
+def test_failing_runners_rest_but_never_more_than_half():
+    stage = Stage([a_route()], [a_runner(f"r{i}") for i in range(4)] + [a_runner("d", draining=True)])
+    leaf, service = stage.leaf, stage.leaf.routing.services["s"]
+    for i in range(3):
+        sent(leaf, leaf.runners[f"r{i}"])
+        ended(leaf, leaf.runners[f"r{i}"], Broken("x"), None)
+    assert len(usable(leaf, service)) == 2
+    assert "r3" in [c.runner for c in candidates(leaf, service)]
+    assert "d" not in [c.runner for c in candidates(leaf, service)]
+    sent(leaf, leaf.runners["r3"])
+    ended(leaf, leaf.runners["r3"], NotSent("lease"), None)
+    assert leaf.loads["r3"].resting_until_ms == 0
+
+
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"garbage\r\n\r\n",
+])
+def test_an_unclear_answer_is_none(head):
+    parser = ResponseParser(False, None, None, None)
+    parser.makeConnection(None)
+    with pytest.raises(Exception):
+        parser.dataReceived(head)
--- /dev/null
+++ b/tests/test_drove_stream.py
@@ -0,0 +1,145 @@
+import pytest
+
+from test_drove_stage import HEAD, Stage, a_route, a_runner, answer_bytes, chunk
+from expression import Ok, Error
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from frostpost.coppice.words import Abort, Begin, Begun, Candidate, End, Ended, Move, NoPlace, NoTurn, TokensSpent
+from frostpost.drove import failures
+
+ONE, TWO = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+RUNNERS = [a_runner("r1"), a_runner("r2")]
+REFUSED = answer_bytes(b"", status=b"503 Full", more=b"Not-Run: 1\r\n")
+
+
+def stage(monkeypatch, **more):
+    return Stage([a_route(**{"kind": "streaming", "retained": True, "keep_ms": 9000, **more})], RUNNERS, monkeypatch)
+
+
+def lose(wire):
+    wire.connectionLost(Failure(ConnectionLost()))
+
+
+def kinds(items):
+    return [type(item) for item in items]
+
+
+def test_a_turn_ends_for_the_client_only_when_it_lasts(monkeypatch):
+    s = stage(monkeypatch)
+    s.chain = {"p": b"old"}
+    s.verdicts.update({Begin: Begun("r1", ("p",)), End: Deferred(), "put": Deferred()})
+    s.serve(program="g", budget=9, previous="p", most_tokens=5)
+    assert s.asked[0].candidates == (Candidate("r1", 4), Candidate("r2", 4))
+    wire = s.connect()
+    assert wire.transport.value().endswith(b"\r\n\r\noldin")
+    wire.dataReceived(HEAD + chunk(ONE + TWO[:4]))
+    assert s.seen == [("head", 200), ("data", ONE)]
+    wire.dataReceived(chunk(TWO[4:]) + b"0\r\n\r\n")
+    assert s.seen == [("head", 200), ("data", ONE), ("data", TWO)]
+    assert s.asked[1] == End("a1", 4, 9000, 6) and s.puts == [("a1", b"ina\nb\n")]
+    s.verdicts[End].callback(Ok(Ended()))
+    assert s.seen[-1] == ("data", TWO)
+    s.verdicts["put"].callback(Ok(None))
+    assert s.seen[-1] == "end" and s.told == []
+
+
+@pytest.mark.parametrize("verdicts", [
+    {End: failures.Unavailable(9)}, {"put": Error(failures.Unavailable(9))},
+])
+def test_a_turn_that_may_not_last_is_cut(monkeypatch, verdicts):
+    s = stage(monkeypatch)
+    s.verdicts.update(verdicts)
+    s.serve()
+    s.connect().dataReceived(HEAD + chunk(ONE) + b"0\r\n\r\n")
+    assert s.seen[-1] == "cut" and "end" not in s.seen
+
+
+def test_a_stream_that_breaks_off_is_cut_and_counted(monkeypatch):
+    s = stage(monkeypatch)
+    s.serve()
+    wire = s.connect()
+    wire.dataReceived(HEAD + chunk(ONE) + chunk(TWO[:5]))
+    lose(wire)
+    assert s.seen == [("head", 200), ("data", ONE), "cut"]
+    assert s.told == [End("a1", 2)] and len(s.reactor.tcpClients) == 1
+
+
+def test_before_its_head_a_broken_stream_is_unknown_and_not_sent_again(monkeypatch):
+    s = stage(monkeypatch)
+    s.serve()
+    lose(s.connect())
+    assert kinds(s.seen) == [failures.Unknown] and s.told == [End("a1", 0)]
+    assert len(s.reactor.tcpClients) == 1
+
+
+@pytest.mark.parametrize("verdict, failure, told", [
+    (TokensSpent(1, 1), failures.BudgetSpent, []), (NoTurn("p"), failures.UnknownTurn, []),
+    (NoPlace(20), failures.Overloaded, []), (failures.Unavailable(9), failures.Unavailable, [Abort("a1")]),
+    (Begun("r1", ("lost",)), failures.Unavailable, [Abort("a1")]),
+])
+def test_refusals_come_before_anything_is_sent(monkeypatch, verdict, failure, told):
+    s = stage(monkeypatch)
+    s.verdicts[Begin] = verdict
+    s.serve(program="g")
+    for _ in range(6):
+        s.reactor.advance(0.02)
+    assert kinds(s.seen) == [failure] and s.told == told and s.reactor.tcpClients == []
+
+
+def test_a_refused_turn_is_moved_then_aborted(monkeypatch):
+    s = stage(monkeypatch)
+    s.verdicts[Move] = Begun("r2", ())
+    s.serve()
+    s.connect().dataReceived(REFUSED)
+    assert s.asked[1] == Move("a1", (Candidate("r2", 4),))
+    s.connect().dataReceived(REFUSED)
+    assert kinds(s.seen) == [failures.Overloaded] and s.told == [Abort("a1")]
+
+
+def test_when_the_client_leaves_the_run_is_stopped_and_counted(monkeypatch):
+    s = stage(monkeypatch)
+    s.serve()
+    wire = s.connect()
+    wire.dataReceived(HEAD + chunk(ONE))
+    s.gone()
+    assert wire.dirty and s.told == [End("a1", 2)] and s.seen[-1] == ("data", ONE)
+
+
+def test_a_resumable_stream_goes_on_inside_the_same_answer(monkeypatch):
+    s = stage(monkeypatch, retained=False, resumable=True)
+    s.serve()
+    wire = s.connect()
+    wire.dataReceived(HEAD + chunk(ONE + TWO[:9]))
+    lose(wire)
+    second = s.connect()
+    assert b"Last: 1\r\n" in second.transport.value()
+    second.dataReceived(HEAD + chunk(TWO) + b"0\r\n\r\n")
+    assert s.seen == [("head", 200), ("data", ONE), ("data", TWO), "end"] and s.asked == []
+
+
+def test_a_stream_taken_up_that_begins_again_is_cut(monkeypatch):
+    s = stage(monkeypatch, retained=False, resumable=True)
+    s.serve()
+    wire = s.connect()
+    wire.dataReceived(HEAD + chunk(ONE))
+    lose(wire)
+    s.connect().dataReceived(HEAD + chunk(ONE + TWO) + b"0\r\n\r\n")
+    assert s.seen == [("head", 200), ("data", ONE), "cut"]
+
+
+def test_a_runners_own_failure_is_passed_on_and_counts_nothing(monkeypatch):
+    s = stage(monkeypatch)
+    s.serve()
+    s.connect().dataReceived(answer_bytes(b"bad", status=b"500 Bad", more=b""))
+    assert s.seen == [("head", 500), ("data", b"bad"), "end"] and s.told == [End("a1", 0)]
+
+
+def test_a_close_delimited_stream_is_never_whole(monkeypatch):
+    s = stage(monkeypatch, retained=False)
+    s.serve()
+    wire = s.connect()
+    wire.dataReceived(HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"") + ONE)
+    lose(wire)
+    assert s.seen == [("head", 200), ("data", ONE), "cut"]
--- /dev/null
+++ b/tests/test_platform_control.py
@@ -0,0 +1,153 @@
+import json
+from types import SimpleNamespace
+
+import pytest
+from expression import Error, Ok
+from msgspec import Struct
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from frostpost.canopy.context import Leaf
+from frostpost.drove.failures import Unavailable
+from frostpost.orchard.machine import Machine
+from frostpost.platform import control, routing
+
+SERVICES = [{"name": "s1", "max-connections": 9}]
+ROUTE = {"name": "r1", "host": "a", "path-prefix": "/x/", "route-class": "safe", "guard-ms": 900, "target": "s1"}
+
+
+class RoutingMoved(Struct):
+    version: int
+
+
+class Ring:
+    """Stands in for the product's operations; `race` is put in just before the next change."""
+    RoutingMoved = RoutingMoved
+
+    def __init__(self):
+        self.version, self.body, self.down, self.race, self.states, self.honoured = 0, b"", False, None, {}, []
+
+    def look_routing(self, leaf, wait_ms):
+        return succeed(Error(Unavailable(250)) if self.down else Ok(SimpleNamespace(version=self.version, body=self.body)))
+
+    def set_routing(self, leaf, base, version, body, wait_ms):
+        if self.race is not None:
+            (self.version, self.body), self.race = self.race, None
+        if (version, body) == (self.version, self.body):
+            self.honoured.append(version)
+            return succeed(Ok(version))
+        if base != self.version:
+            return succeed(Error(RoutingMoved(self.version)))
+        self.version, self.body = version, body
+        return succeed(Ok(version))
+
+    def retire(self, leaf, name, wait_ms):
+        return succeed(Error(Unavailable(100)) if self.down else Ok(SimpleNamespace(state=self.states.get(name, "unknown"))))
+
+    look_retired = retire
+
+
+@pytest.fixture
+def ring(monkeypatch):
+    found = Ring()
+    monkeypatch.setattr(control, "operating", lambda: found)
+    return found
+
+
+def ask(method, what, document=None, base=None, raw=None):
+    clock = Clock()
+    channel = control.server(Leaf(None, clock, "a", Machine(seconds=clock.seconds))).buildProtocol(None)
+    transport = StringTransport()
+    channel.makeConnection(transport)
+    body = raw if raw is not None else b"" if document is None else json.dumps(document).encode()
+    head = b"%s /frostpost/%s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % (method.encode(), what.encode(), len(body))
+    channel.dataReceived(head + (b"" if base is None else b"X-Base-Revision: %d\r\n" % base) + b"\r\n" + body)
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+def whole(issue, **changes):
+    return {"issue": issue, "route-table": [ROUTE], "service-table": SERVICES, "odd": 1.5, **changes}
+
+
+def replace(document, base):
+    return ask("POST", "Configuration.Replace", document, base)[0]
+
+
+def modify(document, base):
+    return ask("POST", "Configuration.Modify", document, base)[0]
+
+
+def held():
+    status, body = ask("GET", "Configuration.Query")
+    return json.loads(body) if status == 200 else status
+
+
+def test_a_configuration_is_taken_read_back_and_taken_again(ring):
+    assert held() == {"issue": 0, "route-table": [], "service-table": []}
+    assert replace(whole(7), 0) == 200 and held() == whole(7)
+    assert replace(whole(7), 0) == 200 and ring.honoured == [7]
+    assert replace(whole(7, odd=2), 0) == 412 and replace(whole(9), 0) == 412
+
+
+def test_a_change_is_merged_with_what_is_held(ring):
+    replace(whole(7), 0)
+    change = {"issue": 9, "upsert": {"route-table": [{**ROUTE, "name": "r2", "path-prefix": "/y/"}]}}
+    assert modify(change, 7) == 200 and modify(change, 7) == 200
+    assert [route["name"] for route in held()["route-table"]] == ["r1", "r2"]
+    assert (held()["issue"], held()["odd"]) == (9, 1.5)
+    assert modify({**change, "remove": {}}, 7) == 412
+    assert routing.routing_from_body(ring.body).version == 9
+
+
+def test_a_change_taken_earlier_is_still_acknowledged(ring):
+    replace(whole(7), 0)
+    assert modify({"issue": 9, "remove": {"route-table": ["r1"]}}, 7) == 200
+    assert replace(whole(7), 0) == 200 and held()["issue"] == 9 and ring.honoured == [9]
+
+
+@pytest.mark.parametrize("document,base", [
+    (whole(7), 7), (whole(6), 7), (whole(8, **{"route-table": [{**ROUTE, "guard-ms": 0}]}), 7), ({}, 7), (whole(8), None)])
+def test_invalid_configurations_are_not_taken(ring, document, base):
+    replace(whole(7, odd=0), 0)
+    assert replace(document, base) == 400 and held() == whole(7, odd=0)
+
+
+def test_invalid_changes_are_not_taken(ring):
+    replace(whole(7), 0)
+    assert modify({"issue": 8, "remove": {"service-table": ["s1"]}}, 7) == 400
+    assert modify({"issue": 7}, 7) == 400 and modify({"upsert": {}}, 7) == 400
+    assert ask("POST", "Configuration.Replace", raw=b'{"issue":', base=7)[0] == 400
+    assert held() == whole(7)
+
+
+def test_of_two_changes_at_once_one_wins(ring):
+    replace(whole(7), 0)
+    ring.race = (8, routing.to_body(whole(8)))
+    assert replace(whole(9), 7) == 412 and held() == whole(8)
+
+
+def test_the_same_change_at_two_daemons_at_once_is_acknowledged_by_both(ring):
+    replace(whole(7), 0)
+    ring.race = (9, routing.to_body(whole(9), [(9, routing.digest("replace", whole(9)))]))
+    assert replace(whole(9), 7) == 200 and held() == whole(9)
+
+
+def test_without_the_ring_the_answer_is_to_come_back(ring):
+    ring.down = True
+    assert replace(whole(7), 0) == 503 and held() == 503
+    assert ask("GET", "Retire.Query/s1")[0] == 503
+
+
+@pytest.mark.parametrize("state,status", [("in_service", 200), ("completed", 200), ("unknown", 404), ("few", 409)])
+def test_emptying_a_machine(ring, state, status):
+    ring.states["storage-a-1"] = state
+    assert ask("POST", "Retire.Initiate/storage-a-1", {"deadline-s": 10})[0] == status
+    found, body = ask("GET", "Retire.Query/storage-a-1")
+    assert found == status and json.loads(body) == {"state": state}
+
+
+def test_other_paths_are_not_there(ring):
+    for method, what in (("GET", "Configuration.Replace"), ("POST", "Retire.Initiate"), ("GET", "Odd"), ("GET", "")):
+        assert ask(method, what)[0] == 404
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,83 @@
+import json
+import re
+from pathlib import Path
+
+import pytest
+from msgspec import structs
+
+from frostpost.drove.words import Call, Runner
+from frostpost.platform import listing
+from frostpost.platform.wire import wire
+
+ROOT = Path(__file__).parent.parent
+NAMES = """X-Attempt-Id X-Time-Remaining X-Operation-Key X-Target-Instance X-Server-Seal X-Not-Executed X-Instance-Load
+X-Instance-Id X-Program-Id X-Session-Id X-Program-Deadline X-Token-Budget X-Token-Count X-Prompt-Prefix X-Previous-Turn
+X-Base-Revision Configuration.Replace Configuration.Modify Configuration.Query Retire.Initiate Retire.Query FROSTPOST_BOOT
+route-table service-table guard-ms path-prefix route-class port-range bind-addresses initial-start machine-class
+page-token next-token cloud-api data-dir self-dedup token-budget target-latency-ms gap-target-ms retention-s
+catch-up-s frostpost/readiness""".split()
+RUNNER = Runner(id="i-1", service="s1", host="10.0.0.1", port=80, zone="a", slots=4)
+CALL = Call(
+    attempt="a1", method=b"GET", uri=b"/x/1", host="a.example", body=b"", started_ms=0, deadline_ms=900,
+    headers=[(b"X-Attempt-Id", b"a1"), (b"X-Time-Remaining", b"900"), (b"X-Previous-Turn", b"a0"),
+             (b"Accept", b"a"), (b"Accept", b"b"), (b"Last-Event-Id", b"3"), (b"X-Target-Instance", b"evil")])
+
+
+def head(status, **headers):
+    return wire().read_head(status, [(name.replace("_", "-").encode(), value) for name, value in headers.items()])
+
+
+def test_a_runner_gets_the_callers_headers_with_the_time_left_and_its_own_name():
+    assert wire().request_headers(CALL, RUNNER, 850.7) == [
+        (b"X-Attempt-Id", b"a1"), (b"X-Previous-Turn", b"a0"), (b"Accept", b"a"), (b"Accept", b"b"),
+        (b"Last-Event-Id", b"3"), (b"X-Time-Remaining", b"850"), (b"X-Target-Instance", b"i-1")]
+
+
+def test_a_stream_taken_up_names_its_last_event_and_time_never_falls_below_nothing():
+    sent = wire().request_headers(structs.replace(CALL, last_event="12"), RUNNER, -5)
+    assert [value for name, value in sent if name == b"Last-Event-Id"] == [b"12"]
+    assert (b"X-Time-Remaining", b"0") in sent
+
+
+def test_a_runners_head_is_read():
+    found = head(200, X_Attempt_Id=b"a1", X_Server_Seal=b"s", X_Instance_Load=b"3,0,8", X_Instance_Id=b"i-1",
+                 Connection=b"close, X-Hop, Odd", Keep_Alive=b"timeout=5, max=9", Content_Length=b"4", Odd=b"1", ETag=b"e")
+    assert (found.status, found.attempt, found.sealed, found.not_run, found.instance) == (200, "a1", True, False, "i-1")
+    assert (found.load, found.close, found.keep_ms) == ((3, 0, 8), True, 5000)
+    assert [name for name, _ in found.headers] == [
+        b"X-Attempt-Id", b"X-Server-Seal", b"X-Instance-Load", b"X-Instance-Id", b"ETag"]
+
+
+def test_only_two_things_say_that_it_was_not_run():
+    assert head(503, X_Not_Executed=b"1").not_run and head(421).not_run
+    assert not head(503).not_run and not head(500).not_run
+
+
+@pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"-1,0,8"])
+def test_a_load_that_cannot_be_read_is_none(value):
+    assert head(200, X_Instance_Load=value).load is None
+
+
+def test_entries_of_the_list_become_runners():
+    good = {"target": "s1", "address": "10.0.0.9:8080", "zone": "a", "capacity": 32, "state": "available", "id": "i-7",
+            "new": 1}
+    bad = [{}, None, 7, {**good, "address": "host:80"}, {**good, "capacity": "x"}, {**good, "id": None}]
+    runners, token = listing.read_page(json.dumps(
+        {"instances": [*bad, good, {**good, "id": "i-8", "state": "draining"}], "next-token": "p-50"}).encode())
+    assert runners == [Runner(id="i-7", service="s1", host="10.0.0.9", port=8080, zone="a", slots=32),
+                       Runner(id="i-8", service="s1", host="10.0.0.9", port=8080, zone="a", slots=32, draining=True)]
+    assert token == "p-50"
+    assert listing.read_page(b'{"instances":[],"next-token":null}') == ([], None)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"instances":7}', b'{"instances":[', b"\xff"])
+def test_what_is_no_page_is_told(body):
+    with pytest.raises(listing.ListBroken):
+        listing.read_page(body)
+
+
+def test_names_of_the_platform_stand_in_its_package_its_tests_and_docs_only():
+    pattern = re.compile("|".join(rf"(?<![\w-]){re.escape(name)}(?![\w-])" for name in NAMES), re.IGNORECASE)
+    code = [*(ROOT / "frostpost").rglob("*.py"), *(ROOT / "tests").glob("*.py")]
+    ours = [p for p in code if p.parent != ROOT / "frostpost/platform" and not p.name.startswith("test_platform")]
+    assert [(str(p.relative_to(ROOT)), found.group()) for p in ours if (found := pattern.search(p.read_text()))] == []
