--- a/frostpost/canopy/asking.py
+++ b/frostpost/canopy/asking.py
@@ -70,7 +70,7 @@
     address = ring_addresses(leaf).get(held.sequencer)
     if address is not None:
         asked.sent_ms = now_ms(leaf)
-        leaf.links["send"](address, AskRing(leaf.boot, asked.number, asked.payload))
+        leaf.links["send"](address, AskRing(leaf.place.member.boot, asked.number, asked.payload))
 
 
 def send_all(leaf):
@@ -82,7 +82,7 @@
 def told(leaf, message):
     state = asking(leaf)
     asked = state.open.get(message.number)
-    if asked is None or message.boot != leaf.boot:
+    if asked is None or message.boot != leaf.place.member.boot:
         return
     if message.fault:
         count(leaf, f"ring/{message.fault}")
--- a/frostpost/canopy/context.py
+++ b/frostpost/canopy/context.py
@@ -6,7 +6,7 @@
     __slots__ = (
         "settings", "reactor", "place", "machine", "links", "directory", "session", "routing",
         "routing_body", "runners", "wire", "pools", "loads", "cache", "putting", "counts", "leaving",
-        "flights", "calls", "hook", "asking", "boot", "tasks", "charter", "life", "front", "lag_ms", "parts", "extras",
+        "flights", "calls", "hook", "asking", "tasks", "charter", "life", "front", "lag_ms", "parts", "extras",
     )
 
     def __init__(self, settings, reactor, place, machine=Machine()):
@@ -15,7 +15,7 @@
         self.routing, self.routing_body, self.runners, self.wire = None, b"", {}, None
         self.pools, self.loads, self.cache, self.putting, self.counts = {}, {}, None, {}, {}
         self.leaving, self.flights, self.calls, self.tasks = False, 0, 0, []
-        self.hook, self.asking, self.boot = {}, None, place.member.boot
+        self.hook, self.asking = {}, None
         self.life, self.front, self.lag_ms, self.parts, self.extras = None, None, 0.0, {}, {}
 
 
--- a/frostpost/platform/front.py
+++ b/frostpost/platform/front.py
@@ -1,7 +1,9 @@
 """Requests of the platform's clients, translated into `Call`, and answers back."""
 from msgspec import json
 from twisted.internet.defer import maybeDeferred
+from twisted.internet.interfaces import IPushProducer
 from twisted.web.http import NO_BODY_CODES
+from zope.interface import implementer
 
 from frostpost.canopy.context import now_ms
 from frostpost.drove import failures
@@ -23,6 +25,7 @@
     return LEAVING_RETRY_MS if isinstance(failure, failures.Leaving) else getattr(failure, "retry_ms", None)
 
 
+@implementer(IPushProducer)
 class Answer:
     """The way of one answer to its client; a body that is whole within one turn of the reactor gets a length."""
     __slots__ = ("leaf", "request", "status", "headers", "begun", "over", "held", "flushing", "length", "gone_",
