Hold chains, refusals and budgets as the ledger's tests ask; start with known peers, sooner

Cause: tests of the ledger showed a chain that runs out under an open attempt (KeyError in apply), budgets forgotten after ten minutes, slots lost by late moves, ends answered unlike when handed in twice, a lease on an older routing after a newer was told honoured, absence counted from another sequencer's time, ends given up after a minute.

--- a/frostpost/canopy/asking.py
+++ b/frostpost/canopy/asking.py
@@ -10,9 +10,8 @@
 from .context import count, now_ms
 from .lease import NEVER, lease_ok, ring_addresses, session
 
-RETRY_MS = 200
+RETRY_MS = 500
 RESEND_MS = 300
-END_MS = 60000
 encode = msgpack.Encoder().encode
 decode = msgpack.Decoder(CoppiceVerdict).decode
 
@@ -57,7 +56,7 @@
 
 def tell(leaf, op):
     """Hand an end in until it is decided; never turned away."""
-    return hand_in(leaf, op, END_MS, True)
+    return hand_in(leaf, op, 0, True)
 
 
 def look(leaf, op, wait_ms):
@@ -95,7 +94,7 @@
     """Called every few ten ms."""
     state, now = asking(leaf), now_ms(leaf)
     for asked in list(state.open.values()):
-        if now >= asked.until_ms:
+        if now >= asked.until_ms and not asked.must:
             state.open.pop(asked.number, None)
             count(leaf, "undecided")
             asked.answer.callback(Error(Unavailable(RETRY_MS, "undecided")))
--- a/frostpost/canopy/founding.py
+++ b/frostpost/canopy/founding.py
@@ -8,6 +8,7 @@
 
 STILL_MS = 700
 FEW_MS = 5000
+COPIES = 2
 encode, decode = msgpack.encode, msgpack.decode
 
 
@@ -25,6 +26,8 @@
     furrow, payloads, fault = furrows.open_(leaf.settings.data, "charter", leaf.machine.files)
     if fault:
         say(type(fault).__name__, path=fault.path, offset=fault.offset)
+    if isinstance(fault, furrows.Corrupt):
+        return
     if payloads:
         leaf.charter = tuple(decode(payloads[-1]))
     leaf.extras["founding"] = Founding(furrow)
@@ -59,7 +62,7 @@
 
 
 def write(furrow, names):
-    furrows.append(furrow, [encode(names)])
+    furrows.append(furrow, [encode(names)] * COPIES)
     furrows.sync(furrow)
 
 
--- a/frostpost/canopy/lease.py
+++ b/frostpost/canopy/lease.py
@@ -85,14 +85,17 @@
 def granted(leaf, place, grant):
     """-> whether the sequencer changed."""
     held, now = session(leaf), now_ms(leaf)
-    if grant.lease_ms <= 0:
+    if grant.sequencer != place.member.name:
         if grant.sequencer and now >= held.until_ms and grant.sequencer != held.sequencer:
             held.sequencer = grant.sequencer
             return True
         return False
+    if grant.lease_ms <= 0 and now < held.until_ms and grant.epoch <= held.epoch:
+        return False
     moved = held.sequencer != place.member.name or held.epoch != grant.epoch
     held.sequencer, held.heard_ms = place.member.name, now
-    held.until_ms = max(held.until_ms, grant.sent_ms + grant.lease_ms)
+    if grant.lease_ms > 0:
+        held.until_ms = max(held.until_ms, grant.sent_ms + grant.lease_ms)
     held.voters, held.version, held.honoured = grant.voters, grant.version, grant.honoured
     if grant.places:
         leaf.directory = {p.member.name: p for p in grant.places}
--- /dev/null
+++ b/frostpost/canopy/peers.py
@@ -0,0 +1,43 @@
+"""Addresses of the ring's daemons, kept on disk so that a start needs no seed."""
+from msgspec import Struct, msgpack
+
+from frostpost.furrow import disk as furrows
+from frostpost.hedgerow.state import names
+
+
+class Peers(Struct):
+    furrow: object
+    machine: object
+    addresses: tuple[str, ...] = ()
+    writing: bool = False
+
+
+def open_(folder, machine):
+    furrow, payloads, _ = furrows.open_(folder, "peers", machine.files)
+    return Peers(furrow, machine, tuple(msgpack.decode(payloads[-1])) if payloads else ())
+
+
+def known(peers):
+    """"host:port" of those that were members last."""
+    return peers.addresses
+
+
+def keep(peers, hedge):
+    """Called now and then: what the open primary's members are, if that changed."""
+    if peers.writing or not hedge.primary.opened or hedge.recovery:
+        return
+    others = [hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers]
+    addresses = tuple(sorted(f"{p.host}:{p.port}" for p in others))
+    if addresses == peers.addresses or not addresses:
+        return
+    peers.writing = True
+    job = peers.machine.inThread(furrows.rewrite, peers.furrow, [msgpack.encode(addresses)])
+    job.addCallbacks(kept, failed, (peers, addresses), None, (peers,))
+
+
+def kept(_, peers, addresses):
+    peers.addresses, peers.writing = addresses, False
+
+
+def failed(_, peers):
+    peers.writing = False
--- a/frostpost/canopy/ring.py
+++ b/frostpost/canopy/ring.py
@@ -19,7 +19,7 @@
 from frostpost.silo import store
 from frostpost.tending.listing import tickLedger
 
-from . import serving, tenders
+from . import peers, serving, tenders
 
 LOG_ENTRIES = 20000
 WINDOW = 2048
@@ -29,7 +29,7 @@
 class House:
     """What a storage daemon holds beside its context."""
     __slots__ = ("ctx", "settings", "sessions", "tending", "silo", "reactor", "machine", "send", "records",
-                 "waiting", "charter", "tasks", "stop")
+                 "waiting", "charter", "tasks", "stop", "peers")
 
     def __init__(self, ctx, settings, stop):
         self.ctx, self.settings, self.stop = ctx, settings, stop
@@ -65,6 +65,7 @@
     if fault:
         say(type(fault).__name__, path=fault.path, offset=fault.offset)
     ctx.disk = disks.Keeper(ctx, furrow)
+    house.peers = peers.open_(settings.data, machine)
     house.silo = store.open_(settings.data, machine, tell=lambda lost: told_by_disk(house, lost),
                              disk_bytes=settings.disk_mb * 600000 or 1 << 30)
     ctx.links = {"applied": lambda: serving.follow(ctx, house.sessions),
@@ -98,7 +99,8 @@
 def begin(house, charter):
     ctx, settings = house.ctx, house.settings
     house.waiting, house.charter = False, charter
-    ctx.core, out = cores.begin(ctx.place, ctx.settings.bounds, [f"@{s}" for s in settings.seeds], charter,
+    seeds = dict.fromkeys((*settings.seeds, *peers.known(house.peers)))
+    ctx.core, out = cores.begin(ctx.place, ctx.settings.bounds, [f"@{s}" for s in seeds], charter,
                                 replay(house.records), nowMs(ctx))
     house.records = []
     ctx.disk.write(out.writes)
@@ -108,6 +110,7 @@
     loop(house, lambda: repair(house), 0.2)
     loop(house, lambda: tenders.tend(ctx, house.tending, 2 * settings.tolerated + 1, settings.catch_up_ms), 0.15)
     loop(house, lambda: tidy(house), 10.0)
+    loop(house, lambda: peers.keep(house.peers, ctx.core.hedge), 1.0)
     say("started", name=settings.name, founding=list(charter))
 
 
--- a/frostpost/canopy/serving.py
+++ b/frostpost/canopy/serving.py
@@ -53,13 +53,13 @@
         sessions.leaves[place.member.name] = seen
     seen.address, seen.version = address, max(seen.version, message.version)
     left_ms = leaseLeftMs(hedge, now)
-    behind = seen.version < held and now - sessions.version_ms > hedge.bounds.leaseMs * GRACE_RATIO
-    lease_ms = 0 if behind else left_ms
+    graced = seen.until_ms > now and now - sessions.version_ms <= hedge.bounds.leaseMs * GRACE_RATIO
+    lease_ms = left_ms if seen.version >= held or graced else 0
     seen.until_ms = max(seen.until_ms, now + lease_ms)
     epoch = hedge.configuration.id.epoch
     places = () if message.epoch == epoch else tuple(
         p for p in (hedge.place, *(hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers)))
-    return Grant(message.sent_ms, max(lease_ms, 1) if left_ms else 0, hedge.name, tuple(voters_of(ctx)),
+    return Grant(message.sent_ms, lease_ms, hedge.name, tuple(voters_of(ctx)),
                  held, honoured(ctx, sessions), epoch, places)
 
 
--- a/frostpost/canopy/tenders.py
+++ b/frostpost/canopy/tenders.py
@@ -15,7 +15,7 @@
 
 
 class Tending(Struct):
-    """away: voters that aren't members, and since when. until_ms: a change is under way."""
+    """away: voters that aren't members, and since when. busy: a change is under way."""
     away: dict[str, int] = {}
     busy: bool = False
     left: bool = False
@@ -57,7 +57,10 @@
         tending.left = True
         say("retired", name=hedge.name)
         feed(ctx, Left(nowMs(ctx)))
-    if tending.busy or not sequencing(ctx):
+    if not sequencing(ctx):
+        tending.away = {}
+        return
+    if tending.busy:
         return
     after = wish(ctx, tending, least, away_ms)
     tending.busy = True
--- a/frostpost/coppice/apply.py
+++ b/frostpost/coppice/apply.py
@@ -28,6 +28,7 @@
 def expire_tomb(coppice, now_ms, name):
     if coppice.tombs.get(name, 0) <= now_ms:
         coppice.tombs.pop(name, None)
+        coppice.refused.pop(name, None)
 
 
 EXPIRE = {
--- a/frostpost/coppice/state.py
+++ b/frostpost/coppice/state.py
@@ -1,6 +1,8 @@
 """The ledger of programs as trees of turns; a pure value that only `apply` changes."""
 from msgspec import Struct
 
+from .words import NoTurn, TokensSpent
+
 
 class Turn(Struct, array_like=True):
     """A turn that ended whole. tokens: its prompt and output, which its runner may still hold."""
@@ -19,6 +21,7 @@
     until_ms: int
     prompt_tokens: int = 0
     placed: bool = True
+    moves: int = 0
 
 
 class Account(Struct, array_like=True):
@@ -27,6 +30,7 @@
     spent: int = 0
     reserved: int = 0
     touched_ms: int = 0
+    open: int = 0
 
 
 class Key(Struct, array_like=True):
@@ -45,12 +49,14 @@
 
 
 class Coppice(Struct, array_like=True):
+    """tombs: attempts that are over, until when; refused: what those that were refused were told."""
     turns: dict[str, Turn] = {}
     attempts: dict[str, Attempt] = {}
     accounts: dict[str, Account] = {}
     keys: dict[str, Key] = {}
     runners: dict[str, RunnerUse] = {}
     tombs: dict[str, int] = {}
+    refused: dict[str, TokensSpent | NoTurn] = {}
     routing_version: int = 0
     routing_body: bytes = b""
     retiring: dict[str, str] = {}
--- a/frostpost/coppice/turns.py
+++ b/frostpost/coppice/turns.py
@@ -9,15 +9,16 @@
 from .state import Account, Attempt, Turn
 from .words import Begun, Ended, NoAttempt, NoPlace, NoTurn, TokensSpent
 
-ACCOUNT_MS = 600000
+ACCOUNT_MS = 7200000
 TOMB_MS = 60000
+CHAIN_SLACK_MS = 60000
 PLACED_SLACK_MS = 1000
 
 
 def chain_of(coppice, turn):
-    """Names of a turn's chain, oldest first."""
+    """Names of a turn's chain, oldest first; what is no longer kept is left out."""
     names = []
-    while turn:
+    while turn and turn in coppice.turns:
         names.append(turn)
         turn = coppice.turns[turn].previous
     return tuple(reversed(names))
@@ -25,16 +26,17 @@
 
 def begin(coppice, now_ms, op):
     if op.attempt in coppice.tombs or op.attempt in coppice.turns:
-        return NoAttempt(op.attempt)
+        return coppice.refused.get(op.attempt) or NoAttempt(op.attempt)
     open_ = coppice.attempts.get(op.attempt)
     if open_ is not None:
         return Begun(open_.runner, chain_of(coppice, open_.previous))
     if op.previous and op.previous not in coppice.turns:
-        return NoTurn(op.previous)
+        return refuse_attempt(coppice, now_ms, op.attempt, NoTurn(op.previous))
     account = coppice.accounts.get(op.program)
     budget = op.budget or (1 << 60)
     if account is not None and account.spent + account.reserved >= budget:
-        return TokensSpent(budget, account.spent)
+        account.touched_ms = now_ms
+        return refuse_attempt(coppice, now_ms, op.attempt, TokensSpent(budget, account.spent))
     runner = place(coppice, now_ms, op)
     if runner is None:
         return NoPlace(wait_ms=20)
@@ -43,10 +45,12 @@
         heappush(coppice.expiries, (now_ms + ACCOUNT_MS, "account", op.program))
     account.budget, account.touched_ms = budget, now_ms
     account.reserved += op.amount
+    account.open += 1
     until_ms = now_ms + op.left_ms + PLACED_SLACK_MS
     coppice.attempts[op.attempt] = Attempt(
         op.program, op.amount, op.previous, runner, until_ms, op.prompt_tokens)
     heappush(coppice.expiries, (until_ms, "attempt", op.attempt))
+    keep_chain(coppice, op.previous, until_ms + CHAIN_SLACK_MS)
     return Begun(runner, chain_of(coppice, op.previous))
 
 
@@ -54,11 +58,17 @@
     attempt = coppice.attempts.get(op.attempt)
     if attempt is None:
         return NoAttempt(op.attempt)
+    if op.number <= attempt.moves:
+        return Begun(attempt.runner, chain_of(coppice, attempt.previous))
     unplace(coppice, attempt)
+    attempt.runner = ""
     runner = place(coppice, now_ms, op, attempt)
     if runner is None:
         return NoPlace(wait_ms=20)
-    attempt.runner, attempt.placed = runner, True
+    attempt.runner, attempt.placed, attempt.moves = runner, True, op.number
+    if attempt.until_ms <= now_ms:
+        attempt.until_ms = now_ms + CHAIN_SLACK_MS
+        heappush(coppice.expiries, (attempt.until_ms, "attempt", op.attempt))
     return Begun(runner, chain_of(coppice, attempt.previous))
 
 
@@ -75,6 +85,9 @@
     if account is not None:
         account.reserved -= attempt.amount
         account.spent += tokens
+        account.open -= 1
+        if attempt.program == name and not account.open:
+            del coppice.accounts[name]
     return attempt
 
 
@@ -83,14 +96,23 @@
     heappush(coppice.expiries, (now_ms + TOMB_MS, "tomb", name))
 
 
+def refuse_attempt(coppice, now_ms, name, verdict):
+    """A refused attempt stays refused, however often it is handed in."""
+    entomb(coppice, now_ms, name)
+    coppice.refused[name] = verdict
+    return verdict
+
+
 def end(coppice, now_ms, op):
     if op.attempt not in coppice.attempts:
-        return Ended() if op.attempt in coppice.turns else NoAttempt(op.attempt)
+        ended = op.attempt in coppice.turns or op.keep_ms <= 0 and op.attempt in coppice.tombs
+        return Ended() if ended else NoAttempt(op.attempt)
     attempt = close(coppice, op.attempt, op.tokens)
     if op.keep_ms <= 0:
         entomb(coppice, now_ms, op.attempt)
         return Ended()
     if attempt.previous and attempt.previous not in coppice.turns:
+        entomb(coppice, now_ms, op.attempt)
         return NoAttempt(op.attempt)
     until_ms = now_ms + op.keep_ms
     coppice.turns[op.attempt] = Turn(
@@ -101,7 +123,7 @@
 
 
 def keep_chain(coppice, turn, until_ms):
-    while turn:
+    while turn and turn in coppice.turns:
         held = coppice.turns[turn]
         if held.kept_until_ms >= until_ms:
             return
@@ -112,6 +134,7 @@
 def abort(coppice, now_ms, op):
     if op.attempt in coppice.attempts:
         close(coppice, op.attempt, 0)
+    coppice.refused.pop(op.attempt, None)
     if op.attempt not in coppice.tombs and op.attempt not in coppice.turns:
         entomb(coppice, now_ms, op.attempt)
     return Ended()
@@ -131,15 +154,14 @@
         heappush(coppice.expiries, (turn.kept_until_ms, "turn", name))
         return
     del coppice.turns[name]
+    entomb(coppice, now_ms, name)
 
 
 def expire_account(coppice, now_ms, name):
     account = coppice.accounts.get(name)
     if account is None:
         return
-    if account.touched_ms + ACCOUNT_MS > now_ms:
-        heappush(coppice.expiries, (account.touched_ms + ACCOUNT_MS, "account", name))
+    if account.open or account.touched_ms + ACCOUNT_MS > now_ms:
+        heappush(coppice.expiries, (max(account.touched_ms, now_ms) + ACCOUNT_MS, "account", name))
         return
     del coppice.accounts[name]
-    for attempt in [n for n, a in coppice.attempts.items() if a.program == name]:
-        del coppice.attempts[attempt]
--- a/frostpost/coppice/words.py
+++ b/frostpost/coppice/words.py
@@ -28,9 +28,10 @@
 
 
 class Move(Struct, array_like=True, frozen=True, tag="move"):
-    """Give an open attempt that no runner has run another runner."""
+    """Give an open attempt that no runner has run another runner; number: 1 for its first move, and so on."""
     attempt: str
     candidates: tuple[Candidate, ...]
+    number: int = 1
 
 
 class End(Struct, array_like=True, frozen=True, tag="end"):
--- a/frostpost/drove/serve.py
+++ b/frostpost/drove/serve.py
@@ -11,7 +11,7 @@
 from .run import Watch
 from .stream import stream
 
-RETRY_MS = 200
+RETRY_MS = 700
 WAYS = {"safe": lookup, "unsafe": lookup, "idempotent": keyed, "streaming": stream}
 
 
--- a/frostpost/drove/turn.py
+++ b/frostpost/drove/turn.py
@@ -72,6 +72,7 @@
     if isinstance(verdict, NoTurn):
         return UnknownTurn()
     if isinstance(verdict, NoPlace):
+        abort(leaf, call)
         return Overloaded(retry_ms(route))
     if not isinstance(verdict, Begun):
         abort(leaf, call)
@@ -90,7 +91,7 @@
 def move(leaf, route, service, call, tried, until_ms):
     """The id of another runner for an attempt that surely wasn't run, or a failure; the caller aborts it then."""
     def operation(offered, _left_ms):
-        return Move(call.attempt, offered)
+        return Move(call.attempt, offered, len(tried))
 
     verdict = yield decide(leaf, route, service, tried, operation, until_ms)
     if isinstance(verdict, Begun) and verdict.runner not in tried:
--- a/frostpost/hedgerow/membership.py
+++ b/frostpost/hedgerow/membership.py
@@ -8,10 +8,17 @@
 def patience(hedge, desired):
     rank = desired.index(hedge.me)
     grown = set(desired) - set(hedge.configuration.members)
-    base = hedge.bounds.joinMs if grown else hedge.bounds.beatMs // 2
+    base = hedge.bounds.joinMs if grown and not gathered(hedge, desired) else hedge.bounds.beatMs // 2
     return base + rank * hedge.bounds.proposalMs
 
 
+def gathered(hedge, desired):
+    """Whether nobody is left to wait for after a start: all voters of this log and all known members are there."""
+    voters = hedge.voters or hedge.log.voters
+    here = {m.name for m in desired}
+    return hedge.configuration.members == (hedge.me,) and bool(voters) and here.issuperset((*voters, *hedge.peers))
+
+
 def seek(hedge, out):
     desired = desire(hedge)
     if desired != hedge.desired:
--- a/frostpost/hedgerow/step.py
+++ b/frostpost/hedgerow/step.py
@@ -64,11 +64,13 @@
     peer = hedge.peers.get(name)
     if peer is None:
         hedge.peers[name] = Peer(place)
+        hedge.beatMs = -(1 << 40)
     elif peer.place.member.boot != place.member.boot:
         if place.member in peer.past and hedge.nowMs - peer.heardMs < 2 * hedge.bounds.detectMs:
             count(hedge, "pastBoot")
             return False
         hedge.peers[name] = Peer(place, past=(peer.past | {peer.place.member}))
+        hedge.beatMs = -(1 << 40)
     elif peer.place != place:
         peer.place = place
     return True
--- /dev/null
+++ b/tests/test_canopy_founding.py
@@ -0,0 +1,132 @@
+from random import Random
+
+from twisted.internet.task import Clock
+
+from frostpost.canopy import assembly, founding
+from frostpost.canopy.context import Leaf
+from frostpost.canopy.settings import DaemonSettings
+from frostpost.hedgerow.outer import Directory, Hello
+from frostpost.hedgerow.words import Frame, Roster
+from frostpost.orchard.machine import Machine
+from frostpost.weather import drives
+from test_canopy_lease import place_of
+from test_silo_drive import Threads, lose_unsynced
+
+SEEDS = ("10.0.0.10:70", "10.0.0.9:70", "10.0.0.9:8")
+FIRST, SECOND = ("10.0.0.9", 8), ("10.0.0.9", 70)
+
+
+class Core:
+    """A core daemon on a drive that can lose its power."""
+
+    def __init__(self, address=FIRST, first_start=True, drive=None, clock=None, tolerated=1):
+        self.clock, self.threads, self.out = clock or Clock(), Threads(), []
+        self.drive = drive or drives.Drive(Random(7), {}, {}, {})
+        settings = DaemonSettings("c1", "core", "z", *address, seeds=SEEDS, first_start=first_start,
+                                  data="/data", tolerated=tolerated)
+        machine = Machine(seconds=self.clock.seconds, inThread=self.threads.run, files=drives.filesOf(self.drive))
+        self.leaf = Leaf(settings, self.clock, place_of("c1", "core"), machine)
+        self.leaf.links["send"] = lambda to, body: self.out.append(body)
+        assembly.lease.session(self.leaf)
+        founding.begin(self.leaf)
+
+    def hello(self, *names, role="storage"):
+        for name in names:
+            assembly.received(self.leaf, Frame(1, place_of(name, role), "", Hello()))
+
+    def after(self, wait_s):
+        self.clock.advance(wait_s)
+        founding.tend(self.leaf)
+        return self.leaf.charter
+
+
+STILL_S = founding.STILL_MS / 1000 + 0.01
+FEW_S = founding.FEW_MS / 1000 + 0.01
+
+
+def test_lowest_seed_founds_with_all_that_wait_once_none_came_for_a_while():
+    core = Core()
+    core.hello("s3", "s1", "s2", "s1")
+    assert core.after(STILL_S) == ("s1", "s2", "s3")
+
+
+def test_addresses_are_compared_as_numbers_and_no_other_seed_founds():
+    for address in (SECOND, ("10.0.0.10", 70)):
+        core = Core(address)
+        core.hello("s1", "s2", "s3")
+        assert core.after(STILL_S) == core.after(FEW_S) == ()
+
+
+def test_none_is_founded_at_a_later_start():
+    core = Core(first_start=False)
+    core.hello("s1", "s2", "s3")
+    assert core.after(STILL_S) == core.after(FEW_S) == ()
+
+
+def test_only_storage_daemons_that_ask_are_counted():
+    core = Core()
+    core.hello("e1", "e2", "c2", role="edge")
+    assembly.received(core.leaf, Frame(1, place_of("s1"), "", Roster((), False)))
+    assert core.after(FEW_S) == ()
+
+
+def test_none_is_founded_while_more_storage_keeps_arriving():
+    core = Core()
+    for n in range(9):
+        core.hello(f"s{n}")
+        assert core.after(0.6) == ()
+    assert len(core.after(0.2)) == 9
+
+
+def test_few_storage_daemons_found_only_after_a_long_wait_for_more():
+    core = Core(tolerated=2)
+    core.hello("s1", "s2", "s3", "s4")
+    assert core.after(STILL_S) == () and core.after(FEW_S - STILL_S - 0.1) == ()
+    core.hello("s5")
+    assert core.after(0.2) == () and core.after(STILL_S) == ("s1", "s2", "s3", "s4", "s5")
+    alone = Core(tolerated=2)
+    alone.hello("s1")
+    assert alone.after(FEW_S - 0.1) == () and alone.after(0.1) == ("s1",)
+
+
+def test_charter_is_handed_out_only_once_it_is_synced():
+    core = Core()
+    core.threads.held = True
+    core.hello("s1", "s2", "s3")
+    assert core.after(STILL_S) == () and core.after(1) == ()
+    core.hello("s4")
+    assert core.after(1) == () and core.out[-1] == Directory((), ()) and len(core.threads.jobs) == 1
+    core.threads.finish()
+    core.hello("s4")
+    assert core.out[-1] == Directory((), ("s1", "s2", "s3"))
+
+
+def test_charter_is_made_once_for_a_disk():
+    core = Core()
+    core.hello("s1", "s2", "s3")
+    made = core.after(STILL_S)
+    lose_unsynced(core.drive)
+    again = Core(drive=core.drive, clock=core.clock)
+    assert again.leaf.charter == made
+    again.hello("s7", "s8", "s9")
+    assert again.after(STILL_S) == made
+    assert Core(SECOND, first_start=False, drive=core.drive).leaf.charter == made
+
+
+def test_loss_of_power_before_the_sync_leaves_no_charter():
+    core = Core()
+    core.threads.held = True
+    core.hello("s1", "s2", "s3")
+    core.after(STILL_S)
+    lose_unsynced(core.drive)
+    assert Core(drive=core.drive).leaf.charter == ()
+
+
+def test_charter_whose_sync_failed_is_not_handed_out_and_tried_again():
+    core = Core()
+    core.drive.broken = {"sync": 1}
+    core.hello("s1", "s2", "s3")
+    assert core.after(STILL_S) == () and core.leaf.extras["founding"].writing is False
+    assert core.after(STILL_S) == ("s1", "s2", "s3")
+    lose_unsynced(core.drive)
+    assert Core(drive=core.drive).leaf.charter == ("s1", "s2", "s3")
--- a/tests/test_drove_lookup.py
+++ b/tests/test_drove_lookup.py
@@ -142,8 +142,11 @@
     s.serve(host="other")
     s.leaf.leaving = True
     s.serve()
+    s.leaf.extras["last_call"] = True
+    s.serve()
     assert [type(x) for x in s.seen] == [
-        failures.NoRoute, failures.Overloaded, failures.BadRequest, failures.Unavailable, failures.Leaving]
+        failures.NoRoute, failures.Overloaded, failures.BadRequest, failures.Unavailable, failures.Unavailable,
+        failures.Leaving]
 
 
 def test_a_keyed_answer_is_resolved_before_the_client_gets_it(monkeypatch):
--- a/tests/test_drove_stream.py
+++ b/tests/test_drove_stream.py
@@ -76,7 +76,7 @@
 
 @pytest.mark.parametrize("verdict, failure, told", [
     (TokensSpent(1, 1), failures.BudgetSpent, []), (NoTurn("p"), failures.UnknownTurn, []),
-    (NoPlace(20), failures.Overloaded, []), (failures.Unavailable(9), failures.Unavailable, [Abort("a1")]),
+    (NoPlace(20), failures.Overloaded, [Abort("a1")]), (failures.Unavailable(9), failures.Unavailable, [Abort("a1")]),
     (Begun("r1", ("lost",)), failures.Unavailable, [Abort("a1")]),
 ])
 def test_refusals_come_before_anything_is_sent(monkeypatch, verdict, failure, told):
