Find the ring at once after a start: askers are told, addresses kept by core daemons

Change: core daemons keep the ring's addresses on disk and greet them, the ring answers greetings, askers are told as soon as there is something to tell, a leaf without a session looks for one every 60 ms.

--- a/frostpost/canopy/assembly.py
+++ b/frostpost/canopy/assembly.py
@@ -15,7 +15,7 @@
 from frostpost.orchard.waiting import until
 from frostpost.silo import client as silo_client
 
-from . import asking, founding, lease, ring
+from . import asking, founding, lease, peers, ring
 from .context import Leaf, now_ms
 
 TEND_S = 0.05
@@ -34,6 +34,8 @@
     lease.session(leaf)
     if settings.control:
         founding.begin(leaf)
+    if settings.data:
+        leaf.extras["peers"] = peers.open_(settings.data, machine)
     return leaf
 
 
@@ -55,10 +57,14 @@
         case Hello():
             if place.role == ring.ROLE:
                 founding.waits(leaf, place.member.name)
+            elif not leaf.directory:
+                leaf.extras.setdefault("askers", {})[place.member.name] = place
             direct(leaf, place)
         case Roster():
             lease.directed(leaf, [place])
             direct(leaf, place)
+            for asker in leaf.extras.pop("askers", {}).values():
+                direct(leaf, asker)
 
 
 def direct(leaf, place):
@@ -68,6 +74,8 @@
 
 def tend(leaf):
     lease.tend(leaf)
+    if leaf.extras.get("peers") and lease.lease_ok(leaf):
+        peers.keep_addresses(leaf.extras["peers"], [f"{p.host}:{p.port}" for p in leaf.directory.values()])
     asking.tend(leaf)
     founding.tend(leaf)
 
@@ -90,6 +98,8 @@
 
     def up(ports):
         leaf.extras["ports"] = ports
+        for address in leaf.extras["peers"].addresses if "peers" in leaf.extras else ():
+            leaf.links["send"](f"@{address}", Hello())
         leaf.tasks.append(loop(leaf, lambda: tend(leaf), TEND_S, stop))
         if leaf.settings.front and leaf.settings.list_host:
             leaf.extras["stops"].append(roster.poll(leaf))
--- a/frostpost/canopy/lease.py
+++ b/frostpost/canopy/lease.py
@@ -7,6 +7,7 @@
 from .context import count, now_ms
 
 RENEWS = 5
+SEEKS = 20
 NEVER = -(1 << 40)
 
 
@@ -54,11 +55,11 @@
 def tend(leaf):
     """Called every few ten ms: renew the lease, look for the ring where there is none."""
     held, now = session(leaf), now_ms(leaf)
-    every_ms = leaf.settings.lease_ms // RENEWS
-    if now - held.renewed_ms >= every_ms:
-        renew(leaf)
+    every_ms, seek_ms = leaf.settings.lease_ms // RENEWS, leaf.settings.lease_ms // SEEKS
     lost = now - held.heard_ms > 2 * every_ms
-    if lost and now - held.greeted_ms >= (every_ms if not leaf.directory else 4 * every_ms):
+    if now - held.renewed_ms >= (seek_ms if lost else every_ms):
+        renew(leaf)
+    if lost and now - held.greeted_ms >= (seek_ms if not leaf.directory else 4 * every_ms):
         held.greeted_ms = now
         for seed in leaf.settings.seeds:
             leaf.links["send"](f"@{seed}", Hello())
@@ -77,9 +78,12 @@
 def directed(leaf, places):
     """Places of the ring's daemons, told by any daemon."""
     session(leaf)
+    known = set(leaf.directory)
     for place in places:
         if place.role == "storage":
             leaf.directory[place.member.name] = place
+    if set(leaf.directory) - known and not lease_ok(leaf):
+        renew(leaf)
 
 
 def granted(leaf, place, grant):
--- a/frostpost/canopy/peers.py
+++ b/frostpost/canopy/peers.py
@@ -27,8 +27,12 @@
     if peers.writing or not hedge.primary.opened or hedge.recovery:
         return
     others = [hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers]
-    addresses = tuple(sorted(f"{p.host}:{p.port}" for p in others))
-    if addresses == peers.addresses or not addresses:
+    keep_addresses(peers, [f"{p.host}:{p.port}" for p in others])
+
+
+def keep_addresses(peers, addresses):
+    addresses = tuple(sorted(addresses))
+    if peers.writing or addresses == peers.addresses or not addresses:
         return
     peers.writing = True
     job = peers.machine.inThread(furrows.rewrite, peers.furrow, [msgpack.encode(addresses)])
--- a/frostpost/canopy/serving.py
+++ b/frostpost/canopy/serving.py
@@ -2,7 +2,7 @@
 from msgspec import DecodeError, Struct, msgpack
 
 from frostpost.granary.apply import decodeOp
-from frostpost.hedgerow.outer import AskRing, Grant, Hello, Renew, RoutingAsk, RoutingTell, Told
+from frostpost.hedgerow.outer import AskRing, Directory, Grant, Hello, Renew, RoutingAsk, RoutingTell, Told
 from frostpost.hedgerow.state import names, sequencer
 from frostpost.hedgerow.watch import leaseLeftMs
 from frostpost.orchard.context import nowMs
@@ -97,7 +97,9 @@
             if coppice.routing_version > body.version:
                 ctx.links["send"](address, RoutingTell(coppice.routing_version, coppice.routing_body))
         case Hello():
-            pass
+            hedge = ctx.core.hedge
+            places = (hedge.place, *(p.place for p in hedge.peers.values()))
+            ctx.links["send"](address, Directory(places))
         case _:
             return False
     return True
