--- /dev/null
+++ b/frostpost/canopy/leaf.py
@@ -0,0 +1,125 @@
+"""An edge or core daemon put together, from its settings to its end."""
+from twisted.internet.task import LoopingCall
+
+from frostpost.hedgerow.outer import Directory, Grant, Hello, RoutingTell, SiloDone, SiloGot, Told
+from frostpost.hedgerow.words import SPEAKS, Member, Place, Roster
+from frostpost.orchard.links import listen, sender
+from frostpost.orchard.news import say
+from frostpost.orchard.waiting import until
+from frostpost.silo import client as silo_client
+
+from . import asking, founding, lease, peers
+from .context import Leaf, now_ms
+
+RING = "storage"
+TEND_S = 0.05
+LISTEN_RATIO = 0.35
+
+
+def make_leaf(settings, front, reactor, machine):
+    boot = 1 + int(machine.token(6), 16)
+    place = Place(Member(settings.name, boot), settings.role, settings.zone, settings.host, settings.port, 0, SPEAKS)
+    leaf = Leaf(settings, reactor, place, machine)
+    leaf.wire = front.wire
+    leaf.links["send"] = sender(leaf)
+    leaf.extras["routing_from_body"] = front.routing_from_body
+    leaf.extras["fetch_list"] = lambda: front.fetch_list(leaf)
+    leaf.extras["stops"] = []
+    lease.session(leaf)
+    if settings.control:
+        founding.begin(leaf)
+    if settings.data:
+        leaf.extras["peers"] = peers.open_(settings.data, machine)
+    return leaf
+
+
+def received(leaf, frame):
+    """A frame from any daemon."""
+    place, body = frame.place, frame.body
+    match body:
+        case Grant():
+            if lease.granted(leaf, place, body):
+                asking.send_all(leaf)
+        case Told():
+            asking.told(leaf, body)
+        case RoutingTell():
+            lease.routed(leaf, body)
+        case SiloDone() | SiloGot():
+            silo_client.received(leaf, place.member.name, body)
+        case Directory():
+            lease.directed(leaf, body.places)
+        case Hello():
+            if place.role == RING:
+                founding.waits(leaf, place.member.name)
+            elif not leaf.directory:
+                leaf.extras.setdefault("askers", {})[place.member.name] = place
+            direct(leaf, place)
+        case Roster():
+            lease.directed(leaf, [place])
+            direct(leaf, place)
+            for asker in leaf.extras.pop("askers", {}).values():
+                direct(leaf, asker)
+
+
+def direct(leaf, place):
+    """Tell a daemon that asks where the ring's daemons are."""
+    leaf.links["send"](lease.address_of(place), Directory(tuple(leaf.directory.values()), leaf.charter))
+
+
+def tend(leaf):
+    lease.tend(leaf)
+    if leaf.extras.get("peers") and lease.lease_ok(leaf):
+        peers.keep_addresses(leaf.extras["peers"], [f"{p.host}:{p.port}" for p in leaf.directory.values()])
+    asking.tend(leaf)
+    founding.tend(leaf)
+
+
+def loop(owner, job, every_s, fail):
+    task = LoopingCall(job)
+    task.clock = owner.reactor
+
+    def broken(failure):
+        say("Internal", type=failure.type.__name__, text=failure.getTraceback()[-2000:])
+        fail(70)
+    task.start(every_s, now=False).addErrback(broken)
+    return task
+
+
+def start_leaf(leaf, front, stop):
+    def fallen(failure):
+        say("ListenFault", text=failure.getErrorMessage())
+        stop(69)
+
+    def up(ports):
+        leaf.extras["ports"] = ports
+        for address in leaf.extras["peers"].addresses if "peers" in leaf.extras else ():
+            leaf.links["send"](f"@{address}", Hello())
+        leaf.tasks.append(loop(leaf, lambda: tend(leaf), TEND_S, stop))
+        if leaf.settings.front and leaf.settings.list_host:
+            from frostpost.drove import roster
+            leaf.extras["stops"].append(roster.poll(leaf))
+        say("started", name=leaf.settings.name, role=leaf.settings.role)
+    listen(leaf, received).addCallback(lambda _: front.listen(leaf)).addCallbacks(up, fallen)
+
+
+def leave_leaf(leaf, stop):
+    """Be unready, serve on until callers know, then end when nothing is under way."""
+    if leaf.leaving:
+        return
+    leaf.leaving = True
+    say("leaving", flights=leaf.flights)
+    grace_ms = leaf.settings.grace_ms
+
+    def last_call(_):
+        leaf.extras["last_call"] = True
+        for port in leaf.extras.get("ports", [])[:1]:
+            port.stopListening()
+        if leaf.front is not None:
+            leaf.front.close_idle()
+        return until(leaf, lambda: leaf.flights == 0 and leaf.calls == 0, int(grace_ms * 0.55))
+
+    def over(_):
+        say("left", flights=leaf.flights)
+        leaf.reactor.callLater(0.1, stop, 0)
+    wait_ms = int(grace_ms * LISTEN_RATIO) if leaf.settings.front else 100
+    until(leaf, lambda: False, wait_ms).addCallback(last_call).addCallback(over)
--- a/frostpost/canopy/ring.py
+++ b/frostpost/canopy/ring.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import LoopingCall
 
 from frostpost.furrow import disk as furrows
-from frostpost.hedgerow.events import Received
+from frostpost.hedgerow.events import Left, Received
 from frostpost.hedgerow.memory import NOWHERE, replay
 from frostpost.hedgerow.outer import Directory, Hello, SiloDone, SiloGet, SiloGot, SiloPut
 from frostpost.hedgerow.state import Bounds
@@ -17,12 +17,13 @@
 from frostpost.orchard.settings import Settings, Tending as Pace
 from frostpost.silo import serving as silos
 from frostpost.silo import store
-from frostpost.tending.listing import tickLedger
+from frostpost.tending.ticking import tickLedger
 
 from . import peers, serving, tenders
 
 LOG_ENTRIES = 20000
 WINDOW = 2048
+LEAVE_S = 0.4
 ROLE = "storage"
 
 
@@ -167,3 +168,10 @@
     for place in message.places:
         if place.member.name != house.settings.name and place.member.name not in ctx.core.hedge.peers:
             heart.feed(ctx, Received(nowMs(ctx), place, Roster((), False)))
+
+
+def leave(house):
+    """Leave the configuration in order, then end."""
+    if not house.waiting:
+        heart.feed(house.ctx, Left(nowMs(house.ctx)))
+    house.reactor.callLater(LEAVE_S, house.stop, 0)
--- a/frostpost/orchard/assembly.py
+++ b/frostpost/orchard/assembly.py
@@ -9,8 +9,9 @@
 from frostpost.hedgerow.words import SPEAKS, Member, Place
 from frostpost.tending import shelves
 from frostpost.tending.calendars import calendars
-from frostpost.tending.listing import list_, tickLedger
+from frostpost.tending.listing import list_
 from frostpost.tending.runners import pollAll
+from frostpost.tending.ticking import tickLedger
 from frostpost.trellis.shelf import Shelf
 from . import disk as disks
 from .context import Context, nowMs
--- a/frostpost/platform/listening.py
+++ b/frostpost/platform/listening.py
@@ -3,9 +3,6 @@
 
 from frostpost.canopy.settings import Front
 
-from . import control, front, readiness
-from .listing import fetch_list
-from .routing import routing_from_body
 from .settings import read
 from .wire import wire
 
@@ -21,15 +18,28 @@
     if settings.front:
         if serve is None:
             from frostpost.drove.serve import serve
+        from . import front
         leaf.front = front.server(leaf, serve)
         listen(settings.front, leaf.front)
     if settings.readiness:
+        from . import readiness
         listen(settings.readiness, readiness.server(leaf))
     if settings.control:
+        from . import control
         listen(settings.control, control.server(leaf))
     return ports
 
 
+def fetch_list(leaf):
+    from .listing import fetch_list as fetch
+    return fetch(leaf)
+
+
+def routing_from_body(body):
+    from .routing import routing_from_body as routing
+    return routing(body)
+
+
 def make_front(path=None, role=None):
     """The platform's `Front`."""
     return Front(listen=lambda leaf: maybeDeferred(open_ports, leaf), wire=wire(), fetch_list=fetch_list,
--- a/frostpost/platform/listing.py
+++ b/frostpost/platform/listing.py
@@ -100,8 +100,3 @@
             leaf.extras["list_seen"] = True
             return list(found.values())
     raise ListBroken(200)
-
-
-def seen_list(leaf):
-    """Whether the whole list has been fetched at least once."""
-    return leaf.extras.get("list_seen", False)
--- a/frostpost/platform/main.py
+++ b/frostpost/platform/main.py
@@ -24,7 +24,13 @@
     return flags.role, flags.settings, flags.check
 
 
+def without_tls():
+    """Nothing here speaks TLS: its libraries cost a tenth of a second and ten MB at the start."""
+    sys.modules.setdefault("OpenSSL", None)
+
+
 def main():
+    without_tls()
     role, path, check = parse_flags()
     result = read(path, role)
     if result.is_error():
--- a/frostpost/platform/readiness.py
+++ b/frostpost/platform/readiness.py
@@ -1,7 +1,6 @@
 """Whether this daemon wants new connections."""
 from frostpost.drove.words import ClientBounds
 
-from .listing import seen_list
 from .server import Server, reply
 
 PATH, BOUNDS = b"/frostpost/readiness", ClientBounds(body_bytes=1024)
@@ -9,7 +8,7 @@
 
 def ready(leaf):
     from frostpost.canopy.lease import lease_ok
-    return not leaf.leaving and leaf.routing is not None and seen_list(leaf) and bool(lease_ok(leaf))
+    return not leaf.leaving and leaf.routing is not None and leaf.extras.get("list_seen", False) and bool(lease_ok(leaf))
 
 
 def server(leaf):
--- /dev/null
+++ b/frostpost/scarecrow/scale_leaves.py
@@ -0,0 +1,147 @@
+"""Hollow leaves: real sessions with the ring, sharing one process, without an HTTP front."""
+from types import SimpleNamespace
+
+from msgspec import Struct, field
+from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.internet.task import LoopingCall
+
+from frostpost.canopy import asking, lease
+from frostpost.canopy import leaf as leaves
+from frostpost.canopy.settings import DaemonSettings
+from frostpost.coppice.words import Begin, Begun, Candidate, Claim, Claimed, End, Ended, Resolve
+from frostpost.orchard.machine import Machine
+from frostpost.silo import client as silo
+
+from .scale_counts import count_kinds
+
+WAIT_MS, KEEP_MS, WINDOW_MS, MOST_UNDER_WAY = 5000, 600000, 60000, 4000
+TURNS, WATCH_S, FEED_S = 67, 0.1, 0.02
+
+
+class Load(Struct):
+    """What the leaves hand in; latencies in milliseconds, kept only while `measuring`."""
+    rate_per_s: float
+    candidates: tuple[Candidate, ...]
+    body: bytes
+    begun_ms: list[float] = []
+    claimed_ms: list[float] = []
+    ended_ms: list[float] = []
+    put_ms: list[float] = []
+    outcomes: dict[str, int] = {}
+    started: int = 0
+    under_way: int = 0
+    measuring: bool = False
+    fault: str = ""
+    since_s: float | None = None
+    chains: dict[str, list[str]] = field(default_factory=dict)
+
+
+def hollow_front():
+    return SimpleNamespace(wire=None, routing_from_body=lambda body: body, fetch_list=lambda leaf: succeed([]),
+                           listen=lambda leaf: succeed([]), close_idle=lambda: None)
+
+
+def leaf_settings(name, role, host, port, seed, data=""):
+    control = (host, port) if data else None
+    return DaemonSettings(name=name, role=role, zone="z", host=host, port=port, control=control, seeds=(seed,),
+                          first_start=True, data=data, cache_bytes=1 << 18)
+
+
+def start_leaf(settings, reactor, stop):
+    leaf = leaves.make_leaf(settings, hollow_front(), reactor, Machine())
+    count_kinds(leaf)
+    leaves.start_leaf(leaf, hollow_front(), stop)
+    return leaf
+
+
+def watch(leaves, gaps):
+    """Count, by name, how often each leaf that had a lease was found without one."""
+    held = {}
+
+    def look():
+        for leaf in leaves:
+            name, now = leaf.settings.name, lease.lease_ok(leaf)
+            if held.get(name) and not now:
+                gaps[name] = gaps.get(name, 0) + 1
+            held[name] = now
+    task = LoopingCall(look)
+    task.start(WATCH_S)
+    return task
+
+
+def feed(leaves, load, reactor):
+    """Start jobs, each of two ordered operations, so that the leaves together hand in the load's rate."""
+    load.since_s = reactor.seconds()
+    first = load.started
+
+    def start_due():
+        due = int((reactor.seconds() - load.since_s) * load.rate_per_s / 2)
+        while load.started - first < due:
+            load.started += 1
+            if load.under_way >= MOST_UNDER_WAY:
+                note(load, "unstarted")
+                continue
+            leaf = leaves[load.started // 2 % len(leaves)]
+            way = turn if load.started % 2 else keyed
+            load.under_way += 1
+            way(leaf, load, reactor, load.started).addErrback(broken, load).addBoth(lambda _: finished(load))
+    task = LoopingCall(start_due)
+    task.start(FEED_S)
+    return task
+
+
+def broken(failure, load):
+    load.fault = load.fault or failure.getTraceback()[-1500:]
+
+
+def finished(load):
+    load.under_way -= 1
+
+
+def note(load, what):
+    if load.measuring:
+        load.outcomes[what] = load.outcomes.get(what, 0) + 1
+
+
+@inlineCallbacks
+def timed(load, reactor, values, asked, kind):
+    """Wait for a verdict; -> whether it was of the kind wanted."""
+    at_s = reactor.seconds()
+    result = yield asked
+    if load.measuring:
+        values.append((reactor.seconds() - at_s) * 1000)
+    verdict = result.ok if result.is_ok() else result.error
+    note(load, type(verdict).__name__ if verdict is not None else "Synced")
+    return kind is None and result.is_ok() or kind is not None and isinstance(verdict, kind)
+
+
+@inlineCallbacks
+def turn(leaf, load, reactor, number):
+    """A turn that follows the leaf's last; a chain that is as long as the target's is left for a new one."""
+    name = leaf.settings.name
+    chain = load.chains.pop(name, [])
+    if len(chain) >= TURNS:
+        chain = []
+    this = f"{name}-{leaf.place.member.boot:013x}-{number:010d}"
+    program = chain[0] if chain else this
+    begin = Begin(this, program, 1 << 30, 400, chain[-1] if chain else "", WAIT_MS, load.candidates,
+                  (("part-of-tenant", 2000),), "", 4000)
+    ok = yield timed(load, reactor, load.begun_ms, asking.ask(leaf, begin, WAIT_MS), Begun)
+    if not ok:
+        return
+    bodied = timed(load, reactor, load.put_ms, silo.put(leaf, this, load.body, WAIT_MS), None)
+    end = asking.tell(leaf, End(this, 360, KEEP_MS, len(load.body)))
+    ended = yield timed(load, reactor, load.ended_ms, end, Ended)
+    yield bodied
+    if ended:
+        load.chains[name] = chain + [this]
+
+
+@inlineCallbacks
+def keyed(leaf, load, reactor, number):
+    this = f"{leaf.settings.name}-{leaf.place.member.boot:013x}-{number:010d}"
+    claim = Claim(f"key-{this}", this, WINDOW_MS)
+    ok = yield timed(load, reactor, load.claimed_ms, asking.ask(leaf, claim, WAIT_MS), Claimed)
+    if ok:
+        resolve = Resolve(f"key-{this}", this, load.body[:400])
+        yield timed(load, reactor, load.ended_ms, asking.tell(leaf, resolve), Ended)
--- /dev/null
+++ b/frostpost/scarecrow/scale_slopes.py
@@ -0,0 +1,187 @@
+"""What state costs by its size, measured in this process: the ledger, its snapshot, the silo."""
+import os
+import sys
+from argparse import ArgumentParser
+from resource import RUSAGE_SELF, getrusage
+from tempfile import TemporaryDirectory
+from time import perf_counter, process_time
+from tracemalloc import get_traced_memory, start, stop
+from types import SimpleNamespace
+
+from msgspec import json, msgpack
+
+from frostpost.coppice.apply import act
+from frostpost.coppice.state import Coppice
+from frostpost.coppice.words import Begin, Candidate, Claim, End, Resolve
+from frostpost.granary.apply import decodeOp
+from frostpost.silo import serving
+from frostpost.silo.segments import SiloFiles, open_log, read_spot, write_batch
+
+KEEP_MS, ANSWER_BYTES, ROUNDS = 3600000, 400, 2000
+encode = msgpack.Encoder().encode
+
+
+def name_of(program, number):
+    return f"{program:016x}{number:016x}"
+
+
+def runners(count):
+    return tuple(Candidate(f"runner-{n:06d}", 1 << 20) for n in range(count))
+
+
+def turn_ops(program, number, candidates):
+    this, previous = name_of(program, number), name_of(program, number - 1) if number else ""
+    return (Begin(this, name_of(program, 0), 1 << 30, 400, previous, 5000, candidates,
+                  (("part-of-tenant", 2000),), "", 4000), End(this, 360, KEEP_MS, 2000))
+
+
+def each_us(count, job):
+    begun_s = process_time()
+    job()
+    return round((process_time() - begun_s) / count * 1e6, 2)
+
+
+def held_bytes(count, job):
+    """Bytes of memory held by each of `count` things that a job makes and returns."""
+    start()
+    kept = job()
+    held = get_traced_memory()[0]
+    stop()
+    return kept, round(held / count)
+
+
+def apply_all(coppice, ops, now_ms=0):
+    for op in ops:
+        act(coppice, now_ms, (), (), op)
+
+
+def grown(programs, turns, candidates):
+    coppice = Coppice()
+    for program in range(programs):
+        for number in range(turns):
+            apply_all(coppice, turn_ops(program, number, candidates))
+    return coppice
+
+
+def measure_ledger(programs, turns):
+    """-> costs for each turn, and the coppice that holds them all."""
+    count, few = programs * turns, max(1, programs // 8)
+    _, memory_bytes = held_bytes(few * turns, lambda: grown(few, turns, runners(8)))
+    begun_s = process_time()
+    coppice = grown(programs, turns, runners(8))
+    grown_s, begun_s = process_time() - begun_s, process_time()
+    snapshot = encode(coppice)
+    encode_s, begun_s = process_time() - begun_s, process_time()
+    msgpack.decode(snapshot, type=Coppice)
+    return {
+        "programs": programs, "turns": count, "memory_bytes_per_turn": memory_bytes,
+        "snapshot_bytes_per_turn": round(len(snapshot) / count), "begin_and_end_us": round(grown_s / count * 1e6, 1),
+        "encode_us_per_turn": round(encode_s / count * 1e6, 3),
+        "decode_us_per_turn": round((process_time() - begun_s) / count * 1e6, 3),
+    }, coppice
+
+
+def measure_accounts(count):
+    """Programs of one turn each: what a program costs beside its turns."""
+    coppice, memory_bytes = held_bytes(count, lambda: grown(count, 1, runners(1)))
+    return {"programs": count, "memory_bytes_per_program_of_one_turn": memory_bytes,
+            "snapshot_bytes_per_program_of_one_turn": round(len(encode(coppice)) / count)}
+
+
+def claimed(count):
+    coppice = Coppice()
+    for n in range(count):
+        key = name_of(n, 1)
+        apply_all(coppice, (Claim(key, key, KEEP_MS), Resolve(key, key, os.urandom(ANSWER_BYTES))))
+    return coppice
+
+
+def measure_keys(count):
+    coppice, memory_bytes = held_bytes(count, lambda: claimed(count))
+    return {"keys": count, "answer_bytes": ANSWER_BYTES, "memory_bytes_per_key": memory_bytes,
+            "snapshot_bytes_per_key": round(len(encode(coppice)) / count)}
+
+
+def measure_index(count):
+    """What a body costs in the memory of a storage daemon: its name, and where it lies."""
+    _, memory_bytes = held_bytes(count, lambda: {name_of(n, 1): (n >> 12, n * 300, 2000 + n) for n in range(count)})
+    return {"bodies": count, "memory_bytes_per_body": memory_bytes}
+
+
+def measure_candidates(counts):
+    """A Begin by the number of runners it names: its bytes, and its cost at delivery (read and applied)."""
+    found = {}
+    for count in counts:
+        coppice, candidates = Coppice(), runners(count)
+        payloads = [[encode(op) for op in turn_ops(program, 0, candidates)] for program in range(ROUNDS)]
+
+        def deliver():
+            for pair in payloads:
+                apply_all(coppice, map(decodeOp, pair))
+        found[str(count)] = {"begin_bytes": len(payloads[0][0]), "begin_and_end_us": each_us(ROUNDS, deliver)}
+    return found
+
+
+def measure_chain(turns):
+    coppice, last = Coppice(), turns - 1
+    for number in range(turns):
+        apply_all(coppice, turn_ops(1, number, runners(8)))
+    begin, _ = turn_ops(1, turns, runners(8))
+    first = turn_ops(2, 0, runners(8))[0]
+
+    def often(op):
+        def job():
+            for n in range(ROUNDS):
+                act(coppice, 0, (), (), op)
+        return job
+    return {"turns_before": last + 1, "begin_us": each_us(ROUNDS, often(begin)),
+            "begin_of_a_first_turn_us": each_us(ROUNDS, often(first)),
+            "verdict_bytes": len(encode(act(coppice, 0, (), (), begin)))}
+
+
+def measure_repair(coppice):
+    """What one look for bodies that are lacking costs (five a second)."""
+    house = SimpleNamespace(silo=SimpleNamespace(index=dict.fromkeys(coppice.turns, (0, 0, 0))))
+    count, wall_s = len(coppice.turns), []
+    for _ in range(5):
+        begun_s = perf_counter()
+        serving.lacking(house, coppice.turns)
+        wall_s.append(perf_counter() - begun_s)
+    return {"turns": count, "us_per_turn": round(min(wall_s) / count * 1e6, 4)}
+
+
+def measure_silo(folder, body_bytes, count, batch):
+    log, index, _, _ = open_log(os.path.join(folder, f"silo-{body_bytes}"), SiloFiles(), 8 << 20)
+    bodies = [(name_of(n, body_bytes), os.urandom(body_bytes)) for n in range(count)]
+    used_s, begun_s = process_time(), perf_counter()
+    for at in range(0, count, batch):
+        index.update(write_batch(log, bodies[at:at + batch]).spots)
+    put_cpu_s, put_s = process_time() - used_s, perf_counter() - begun_s
+    used_s = process_time()
+    for turn, _ in bodies:
+        read_spot(log, index[turn])
+    return {"body_bytes": body_bytes, "bodies": count, "batch": batch,
+            "put_cpu_us": round(put_cpu_s / count * 1e6, 1), "sync_ms": round(put_s / count * batch * 1000, 2),
+            "get_cpu_us": round((process_time() - used_s) / count * 1e6, 1)}
+
+
+def main(words=None):
+    parser = ArgumentParser(prog="python -m frostpost.scarecrow.scale_slopes")
+    parser.add_argument("--programs", type=int, default=2000)
+    parser.add_argument("--turns", type=int, default=67)
+    options = parser.parse_args(words)
+    with TemporaryDirectory(prefix="scale-") as folder:
+        keys = measure_keys(20000)
+        accounts = measure_accounts(20000)
+        ledger, coppice = measure_ledger(options.programs, options.turns)
+        found = {"ledger": ledger, "accounts": accounts, "keys": keys, "index": measure_index(50000),
+                 "repair": measure_repair(coppice),
+                 "candidates": measure_candidates((8, 32, 200)), "chain": measure_chain(options.turns),
+                 "silo": [measure_silo(folder, 2000, 4000, 10), measure_silo(folder, 16000, 2000, 10)],
+                 "peak_memory_mb": round(getrusage(RUSAGE_SELF).ru_maxrss / 1024)}
+    print(json.format(json.encode(found), indent=1).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/frostpost/tending/listing.py
+++ b/frostpost/tending/listing.py
@@ -3,7 +3,7 @@
 
 from frostpost.gate.reading import gather
 from frostpost.granary import duties
-from frostpost.granary.words import Runner, Runners, Tick
+from frostpost.granary.words import Runner, Runners
 from frostpost.orchard.context import count, nowMs
 from frostpost.orchard.core import leaseOk
 from frostpost.orchard.heart import ask
@@ -53,14 +53,3 @@
         count(ctx, "listChanges")
         say("RunnerList", runners=len(entries))
         yield ask(ctx, Runners(fence, entries), ctx.settings.doors.askMs)
-
-
-def tickLedger(ctx):
-    fence = duties.held(ctx.core.granary, "ticks", ctx.place.member)
-    now = nowMs(ctx)
-    if not fence or not leaseOk(ctx.core, now):
-        ctx.tickMs = 0
-        return
-    lastMs, ctx.tickMs = ctx.tickMs, now
-    if lastMs:
-        ask(ctx, Tick(fence, min(now - lastMs, 3 * ctx.settings.tending.tickMs)), ctx.settings.doors.askMs)
--- /dev/null
+++ b/frostpost/tending/ticking.py
@@ -0,0 +1,16 @@
+from frostpost.granary import duties
+from frostpost.granary.words import Tick
+from frostpost.orchard.context import nowMs
+from frostpost.orchard.core import leaseOk
+from frostpost.orchard.heart import ask
+
+
+def tickLedger(ctx):
+    fence = duties.held(ctx.core.granary, "ticks", ctx.place.member)
+    now = nowMs(ctx)
+    if not fence or not leaseOk(ctx.core, now):
+        ctx.tickMs = 0
+        return
+    lastMs, ctx.tickMs = ctx.tickMs, now
+    if lastMs:
+        ask(ctx, Tick(fence, min(now - lastMs, 3 * ctx.settings.tending.tickMs)), ctx.settings.doors.askMs)
--- a/tests/test_canopy_founding.py
+++ b/tests/test_canopy_founding.py
@@ -2,7 +2,8 @@
 
 from twisted.internet.task import Clock
 
-from frostpost.canopy import assembly, founding
+from frostpost.canopy import founding
+from frostpost.canopy import leaf as assembly
 from frostpost.canopy.context import Leaf
 from frostpost.canopy.settings import DaemonSettings
 from frostpost.hedgerow.outer import Directory, Hello
--- a/tests/test_canopy_lease.py
+++ b/tests/test_canopy_lease.py
@@ -2,7 +2,8 @@
 
 from twisted.internet.task import Clock
 
-from frostpost.canopy import assembly, lease, serving
+from frostpost.canopy import leaf as assembly
+from frostpost.canopy import lease, serving
 from frostpost.canopy.context import Leaf
 from frostpost.canopy.settings import DaemonSettings
 from frostpost.granary.state import Granary
