Mend what storms of ring and doors found: windows, keeps, voters, drains, one storage daemon

Change: ticks of slack; the gone voter gives way first; backoff within half the drain bound; a sole voter proposes itself. The storms, their judge and 13 planted faults stand in tests/copse.

--- a/frostpost/canopy/tenders.py
+++ b/frostpost/canopy/tenders.py
@@ -12,6 +12,7 @@
 from .serving import sequencing, voters_of
 
 MISSING = "missing"
+AWAY_MS = 1000
 
 
 class Tending(Struct):
@@ -33,13 +34,20 @@
 
 
 def wish(ctx, tending, least, away_ms):
-    """The voters after one safe change, or None if they are right."""
+    """The voters after one safe change, or None if they are right.
+
+    A voter that is gone gives way to a newcomer before the newcomer is added: with both in the set, a newcomer that is
+    lost again would leave too few for good.
+    """
     voters, present = tuple(voters_of(ctx)), names(ctx.core.hedge.configuration)
     retiring, now = ctx.core.granary.coppice.retiring, nowMs(ctx)
     tending.away = {v: tending.away.get(v, now) for v in voters if v not in present}
-    for name in present:
-        if name not in voters and name not in retiring and whole(ctx, name):
-            return tuple(sorted((*voters, name)))
+    fresh = [n for n in present if n not in voters and n not in retiring and whole(ctx, n)]
+    away = [v for v, since_ms in tending.away.items() if now - since_ms >= min(away_ms, AWAY_MS)]
+    if fresh and away and len(voters) > 1:
+        return tuple(v for v in voters if v != away[0])
+    if fresh and not tending.away:
+        return tuple(sorted((*voters, fresh[0])))
     if len(voters) <= least:
         return None
     leaving = [v for v in voters if v in retiring and all(whole(ctx, n) for n in present if n not in retiring)]
@@ -62,13 +70,14 @@
         return
     if tending.busy:
         return
-    after = wish(ctx, tending, least, away_ms)
     tending.busy = True
     try:
-        if after is not None:
+        while (after := wish(ctx, tending, least, away_ms)) is not None and sequencing(ctx):
             before = tuple(ctx.core.granary.voters)
             result = yield ask(ctx, SetVoters(hedge.configuration.id, before, after), 2000)
             say("voters", before=list(before), after=list(after), decided=result.is_ok())
+            if not result.is_ok() or tuple(ctx.core.granary.voters) != after:
+                break
         for name in emptied(ctx):
             yield ask(ctx, Retired(name), 2000)
     finally:
--- a/frostpost/coppice/turns.py
+++ b/frostpost/coppice/turns.py
@@ -16,20 +16,27 @@
 
 
 def chain_of(coppice, turn):
-    """Names of a turn's chain, oldest first; what is no longer kept is left out."""
+    """Names of a turn's chain, oldest first; None where a part of it is no longer kept."""
     names = []
-    while turn and turn in coppice.turns:
+    while turn:
+        if turn not in coppice.turns:
+            return None
         names.append(turn)
         turn = coppice.turns[turn].previous
     return tuple(reversed(names))
 
 
+def begun(coppice, name, attempt):
+    chain = chain_of(coppice, attempt.previous)
+    return NoAttempt(name) if chain is None else Begun(attempt.runner, chain)
+
+
 def begin(coppice, now_ms, op):
     if op.attempt in coppice.tombs or op.attempt in coppice.turns:
         return coppice.refused.get(op.attempt) or NoAttempt(op.attempt)
     open_ = coppice.attempts.get(op.attempt)
     if open_ is not None:
-        return Begun(open_.runner, chain_of(coppice, open_.previous))
+        return begun(coppice, op.attempt, open_)
     if op.previous and op.previous not in coppice.turns:
         return refuse_attempt(coppice, now_ms, op.attempt, NoTurn(op.previous))
     account = coppice.accounts.get(op.program)
@@ -51,7 +58,7 @@
         op.program, op.amount, op.previous, runner, until_ms, op.prompt_tokens)
     heappush(coppice.expiries, (until_ms, "attempt", op.attempt))
     keep_chain(coppice, op.previous, until_ms + CHAIN_SLACK_MS)
-    return Begun(runner, chain_of(coppice, op.previous))
+    return begun(coppice, op.attempt, coppice.attempts[op.attempt])
 
 
 def move(coppice, now_ms, op):
@@ -59,7 +66,7 @@
     if attempt is None:
         return NoAttempt(op.attempt)
     if op.number <= attempt.moves:
-        return Begun(attempt.runner, chain_of(coppice, attempt.previous))
+        return begun(coppice, op.attempt, attempt)
     unplace(coppice, attempt)
     attempt.runner = ""
     runner = place(coppice, now_ms, op, attempt)
@@ -69,7 +76,7 @@
     if attempt.until_ms <= now_ms:
         attempt.until_ms = now_ms + CHAIN_SLACK_MS
         heappush(coppice.expiries, (attempt.until_ms, "attempt", op.attempt))
-    return Begun(runner, chain_of(coppice, attempt.previous))
+    return begun(coppice, op.attempt, attempt)
 
 
 def unplace(coppice, attempt):
--- a/frostpost/drove/keyed.py
+++ b/frostpost/drove/keyed.py
@@ -11,6 +11,7 @@
 from .outcomes import Answer
 
 DISCLAIM_MS = 300
+WINDOW_TICKS = 6
 
 
 def pack(whole):
@@ -32,7 +33,8 @@
     if not call.key:
         return hand_over(leaf, BadRequest("no key"), sink)
     key = f"{call.host}|{call.key}"
-    claim = Claim(key, call.attempt, leaf.settings.key_window_ms)
+    window_ms = leaf.settings.key_window_ms + WINDOW_TICKS * leaf.settings.tick_ms
+    claim = Claim(key, call.attempt, window_ms)
     result = yield ask(leaf, claim, ask_ms(leaf, route, until_ms))
     verdict = result.ok if result.is_ok() else None
     if isinstance(verdict, KeyAtWork):
--- a/frostpost/drove/roster.py
+++ b/frostpost/drove/roster.py
@@ -36,7 +36,7 @@
 
     def again(times):
         if not state["stopped"]:
-            state["timer"] = leaf.reactor.callLater(times * leaf.settings.list_ms / 1000, fetch)
+            state["timer"] = leaf.reactor.callLater(min(times * leaf.settings.list_ms, max(leaf.settings.list_ms, leaf.settings.drain_ms // 2)) / 1000, fetch)
 
     def stop():
         state["stopped"] = True
--- a/frostpost/hedgerow/membership.py
+++ b/frostpost/hedgerow/membership.py
@@ -12,6 +12,12 @@
     return base + rank * hedge.bounds.proposalMs
 
 
+def sole(hedge):
+    """Whether the only voter stands in the configuration that it started with, which nobody has judged."""
+    voters = hedge.voters or hedge.log.voters or hedge.voters0
+    return hedge.storage and not hedge.primary.able and tuple(voters) == (hedge.name,)
+
+
 def gathered(hedge, desired):
     """Whether nobody is left to wait for after a start: all voters of this log and all known members are there."""
     voters = hedge.voters or hedge.log.voters
@@ -24,7 +30,7 @@
     if desired != hedge.desired:
         hedge.desired, hedge.desiredMs = desired, hedge.nowMs
     settled = hedge.recovery is None and hedge.proposal is None
-    if settled and set(desired) == set(hedge.configuration.members):
+    if settled and set(desired) == set(hedge.configuration.members) and not sole(hedge):
         hedge.desiredMs = hedge.nowMs
         return
     sinceMs = hedge.desiredMs
--- /dev/null
+++ b/tests/copse/clock.py
@@ -0,0 +1,116 @@
+"""One clock for all simulated machines, and a machine's reactor on it."""
+from heapq import heappop, heappush
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.base import DelayedCall
+from twisted.internet.interfaces import IReactorPluggableNameResolver
+from zope.interface import implementer
+
+from . import wires as copse_wires
+from frostpost.weather.hosts import Host
+
+
+class Wheel:
+    __slots__ = ("now_s", "heap", "serial")
+
+    def __init__(self):
+        self.now_s, self.heap, self.serial = 0.0, [], 0
+
+    def seconds(self):
+        return self.now_s
+
+    def callLater(self, delay_s, call, *args, **facts):
+        delayed = DelayedCall(
+            self.now_s + max(0.0, delay_s), call, args, facts, lambda _: None, self.push, self.seconds)
+        self.push(delayed)
+        return delayed
+
+    def push(self, delayed):
+        self.serial += 1
+        heappush(self.heap, (delayed.getTime(), self.serial, delayed))
+
+    def run(self, until_s):
+        while self.heap and self.heap[0][0] <= until_s:
+            at_s, _, delayed = heappop(self.heap)
+            if delayed.cancelled or delayed.called:
+                continue
+            if delayed.getTime() > at_s:
+                self.push(delayed)
+                continue
+            self.now_s = max(self.now_s, at_s)
+            host = getattr(delayed, "host", None)
+            if host is not None and host.alive and host.frozen:
+                host.late.append(delayed)
+                continue
+            fire(delayed)
+        self.now_s = max(self.now_s, until_s)
+
+
+def fire(delayed):
+    delayed.called = 1
+    delayed.func(*delayed.args, **delayed.kw)
+
+
+class Numbers:
+    """Resolves IP numbers only."""
+
+    def resolveHostName(self, receiver, hostName, portNumber=0, addressTypes=None, transportSemantics="TCP"):
+        receiver.resolutionBegan(self)
+        receiver.addressResolved(IPv4Address("TCP", hostName, portNumber))
+        receiver.resolutionComplete()
+        return receiver
+
+
+@implementer(IReactorPluggableNameResolver)
+class Rig(Host):
+    """A machine: its timers go on at a thaw, before or after what came in meanwhile."""
+    __slots__ = ("nameResolver", "late")
+
+    def __init__(self, net, name, address, cell="a"):
+        self.nameResolver, self.late = Numbers(), []
+        super().__init__(net, name, address, cell)
+
+    def boot(self):
+        super().boot()
+        self.late = []
+
+    def seconds(self):
+        return self.net.clock.seconds()
+
+    def callLater(self, delay_s, call, *args, **facts):
+        delayed = self.net.clock.callLater(delay_s, self.guarded, self.life, call, args, facts)
+        delayed.host = self
+        return delayed
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        return copse_wires.connect(self.net, self, host, port, factory, timeout)
+
+    def catchUp(self):
+        return None
+
+    def enter(self, call, *args):
+        if not self.alive:
+            return
+        if self.frozen:
+            self.queue.append((self.life, call, args))
+        else:
+            self.guarded(self.life, call, args, {})
+
+    def thaw(self):
+        if not self.frozen:
+            return
+        self.frozen = False
+        late, self.late = self.late, []
+        queue, self.queue = self.queue, []
+        timers = [lambda d=d: self.ring(d) for d in late]
+        reads = [lambda q=q: self.guarded(*q, {}) for q in queue]
+        for job in timers + reads if self.net.random.random() < 0.5 else reads + timers:
+            job()
+
+    def ring(self, delayed):
+        if delayed.cancelled or delayed.called:
+            return
+        if delayed.getTime() > self.seconds():
+            self.net.clock.push(delayed)
+        else:
+            fire(delayed)
--- /dev/null
+++ b/tests/copse/notes.py
@@ -0,0 +1,90 @@
+"""What clients, runners, the operator and the platform have seen on their sockets."""
+from msgspec import Struct
+
+
+class Broken(Struct, frozen=True):
+    rule: str
+    text: str
+
+
+class Try(Struct):
+    """One request of a client and what came back."""
+    try_id: str
+    kind: str
+    uri: str
+    body: bytes
+    left_ms: int
+    headers: list
+    host: str = "h.example"
+    method: str = "POST"
+    edge: str = ""
+    sent_ms: float = 0.0
+    written_ms: float = -1.0
+    dialled_ms: float = -1.0
+    ended_ms: float = -1.0
+    status: int = 0
+    seal: str = ""
+    echo: str = ""
+    retry_ms: float = 0.0
+    got: bytes = b""
+    whole: bool = False
+    why: str = ""
+    key: str = ""
+    program: str = ""
+    previous: str = ""
+    budget: int = 0
+    most: int = 0
+    last_event: str = ""
+
+
+class Run(Struct):
+    """A request that a runner began to work on. pieces: data of the events made; done: the answer was
+    sent whole; broke: the runner itself broke off."""
+    try_id: str
+    runner: str
+    service: str
+    at_ms: float
+    method: str
+    uri: str
+    body: bytes
+    seal: str
+    key: str = ""
+    previous: str = ""
+    last_event: str = ""
+    status: int = 200
+    pieces: list = []
+    first: int = 1
+    total: int = 0
+    answer: bytes = b""
+    done: bool = False
+    over: bool = False
+    broke: bool = False
+
+
+class Version(Struct):
+    """A change that an operator sent. paths: prefix -> services of the whole configuration under it."""
+    issue: int
+    base: int
+    paths: dict
+    document: dict
+    sent_ms: float
+    acked_ms: float = -1.0
+    no: int = 0
+    unclear: int = 0
+    valid: bool = True
+
+
+class Trouble(Struct):
+    kind: str
+    names: tuple
+    from_ms: float
+    until_ms: float = 1e12
+
+
+class Notes:
+    """sheet: the deployment's figures in ms. shown: (at_ms, runner id, state) as the list came to show it."""
+
+    def __init__(self, sheet):
+        self.sheet, self.tries, self.runs, self.versions, self.troubles = sheet, [], [], [], []
+        self.shown, self.strays, self.away, self.held, self.marks, self.lives = [], [], [], None, [], []
+        self.list_troubles, self.tap = [], lambda request: None
--- /dev/null
+++ b/tests/copse/plants.py
@@ -0,0 +1,120 @@
+"""Faults planted in the product's code, each of which the judge has to catch."""
+from contextlib import contextmanager
+
+from msgspec import structs
+from twisted.internet.defer import succeed
+
+from frostpost.canopy import lease, operating
+from frostpost.coppice import apply as ledger
+from frostpost.coppice import turns
+from frostpost.coppice.words import Claim, Claimed, End, RoutingSet, SetRouting
+from frostpost.drove import exchange, pool, serve, stream, turn
+from frostpost.drove.failures import TimedOut, Unknown
+from frostpost.drove.outcomes import Broken
+from frostpost.hedgerow import recovery, settling
+from frostpost.platform import front, listing
+
+
+def end_unawaited():
+    def close(leaf, route, call, tokens, data, until_ms):
+        keep_ms = route.keep_ms if route.retained else 0
+        turn.tell(leaf, End(call.attempt, tokens, keep_ms=keep_ms, size=len(data)))
+        if keep_ms:
+            turn.put(leaf, call.attempt, data, 5000)
+        return succeed(True)
+    return [(turn, "close", close)]
+
+
+def claim_skipped():
+    return [(ledger, "STEPS", {**ledger.STEPS, Claim: lambda coppice, now_ms, op: Claimed()})]
+
+
+def base_ignored():
+    def set_routing(coppice, now_ms, op):
+        if op.version > coppice.routing_version:
+            coppice.routing_version, coppice.routing_body = op.version, op.body
+        return RoutingSet(op.version)
+    return [(ledger, "STEPS", {**ledger.STEPS, SetRouting: set_routing})]
+
+
+def lease_ignored():
+    return [(module, "lease_ok", lambda leaf: True) for module in (serve, pool, lease)]
+
+
+def chain_reversed():
+    kept = turn.fetch
+
+    def fetch(leaf, turns, wait_ms):
+        return kept(leaf, tuple(reversed(turns)), wait_ms)
+    return [(turn, "fetch", fetch)]
+
+
+def drain_ignored():
+    kept = listing.runner_of
+
+    def runner_of(entry):
+        runner = kept(entry)
+        return runner and structs.replace(runner, draining=False)
+    return [(listing, "runner_of", runner_of)]
+
+
+def promise_broken():
+    return [(front, "STATUS", {**front.STATUS, Unknown: 503, TimedOut: 503})]
+
+
+def echo_unread():
+    return [(exchange, "doubt", lambda head, call, first: "")]
+
+
+def cut_ended():
+    return [(front.Answer, "cut", lambda answer: answer.end())]
+
+
+def resumed_always():
+    def may_resume(route, state, outcome):
+        return isinstance(outcome, Broken) and not state.spliced
+    return [(stream, "may_resume", may_resume)]
+
+
+def tokens_forgotten():
+    kept = turns.close
+
+    def close(coppice, name, tokens):
+        return kept(coppice, name, 0)
+    return [(turns, "close", close)]
+
+
+def every_voter():
+    def majorities(primary, present):
+        return all(v in present for v in primary.voters)
+    return [(module, "majorities", majorities) for module in (settling, recovery)]
+
+
+def unordered_ack():
+    """A change is acknowledged before it is ordered."""
+    def set_routing(leaf, base, version, body, wait_ms):
+        operating.look(leaf, SetRouting(base, version, body), 50)
+        return succeed(operating.Ok(version))
+    return [(operating, "set_routing", set_routing)]
+
+
+PLANTS = {
+    "end_unawaited": end_unawaited, "claim_skipped": claim_skipped, "base_ignored": base_ignored,
+    "lease_ignored": lease_ignored, "chain_reversed": chain_reversed, "drain_ignored": drain_ignored,
+    "promise_broken": promise_broken, "echo_unread": echo_unread, "cut_ended": cut_ended,
+    "resumed_always": resumed_always, "tokens_forgotten": tokens_forgotten, "every_voter": every_voter,
+    "unordered_ack": unordered_ack,
+}
+
+
+@contextmanager
+def planted(name):
+    changes = PLANTS[name]() if name else []
+    kept = [(module, word, getattr(module, word)) for module, word, _ in changes]
+    for module, word, fault in changes:
+        setattr(module, word, fault)
+    try:
+        yield
+    finally:
+        for module, word, was in kept:
+            setattr(module, word, was)
--- /dev/null
+++ b/tests/copse/play.py
@@ -0,0 +1,172 @@
+"""One seeded day: founding, traffic, troubles, a closing fault, and the judgement."""
+from collections import Counter, defaultdict
+from random import Random
+
+from msgspec import Struct
+from twisted.python import log
+
+from . import judge as judge
+from . import troubles as troubles
+from . import world as worlds
+from .config import acknowledgements, handled, read_back, reverts
+from .inner import inner
+from .notes import Broken
+from .stage import await_, crowd_of, open_, probe, settle
+from .works import KINDS
+
+STORM_MS = 16000
+ODDS = {"lose": 0.02, "cut": 0.03, "surplus": 0.02, "noise": 0.01, "fail": 0.01, "silent": 0.01}
+
+
+class Report(Struct):
+    seed: int
+    broken: list
+    odd: list
+    tries: dict
+    runs: int
+    ready_ms: float
+    back_ms: float
+    served: float
+    acks: dict
+    trace: list
+
+
+def changes(world, random, operators, until_ms):
+    """Operators change the configuration again and again, now and then both at once."""
+    def next_():
+        if world.now_ms() < until_ms:
+            for operator in operators if random.random() < 0.4 else operators[:1]:
+                operator.modify(world.now_ms() + 6000)
+            world.later(random.uniform(1500, 4500), next_)
+    next_()
+
+
+def retire_one(world, random, operator):
+    daemon = random.choice(world.of("storage"))
+
+    def emptied(done):
+        if done and not daemon.gone:
+            worlds.wipe(world, daemon)
+            daemon.gone = True
+            world.notes.marks.append(("retired", daemon.name, world.now_ms()))
+    operator.retire(daemon.name, world.now_ms() + 9000).addCallback(emptied)
+
+
+def storm(world, random, operators, kinds, until_ms, gap_ms, trace):
+    def next_():
+        if world.now_ms() >= until_ms:
+            return
+        kind = random.choice(kinds)
+        trace.append((round(world.now_ms()), kind))
+        if kind == "retire":
+            retire_one(world, random, operators[1])
+        else:
+            KINDS[kind](world, random)
+        world.later(random.uniform(100, gap_ms), next_)
+    world.later(random.uniform(300, 1500), next_)
+
+
+def heal(world):
+    world.net.cuts.clear()
+    world.listing.down = False
+    for daemon in list(world.daemons.values()):
+        daemon.drive.delayMs = 2.0
+        daemon.drive.broken.clear()
+        daemon.host.thaw()
+        if not daemon.gone:
+            daemon.host.powered = True
+            worlds.start(world, daemon)
+    for trouble in world.notes.troubles:
+        trouble.until_ms = min(trouble.until_ms, world.now_ms())
+    for runner in world.runners.values():
+        runner.host.thaw()
+        runner.odds = {}
+
+
+def judged(world, document):
+    tries = {t.try_id: t for t in world.notes.tries}
+    runs_of = defaultdict(list)
+    for run in world.notes.runs:
+        runs_of[run.try_id].append(run)
+    return [
+        *judge.twice(world, runs_of, tries), *judge.promised(runs_of, tries), *judge.mixed(world, runs_of, tries),
+        *judge.budgets(tries), *judge.unasked(world, tries), *judge.lost(world, tries), *judge.drains(world, tries),
+        *judge.cut_off(world, runs_of, tries),
+        *acknowledgements(world), *handled(world, tries), *reverts(world, tries), *read_back(world, document)]
+
+
+def play(seed, shape=None, kinds=None, storm_ms=STORM_MS, gap_ms=2500, closing=None, load_ms=150, odds=ODDS, prepare=None):
+    """-> world, Report. closing: power, kill, wipe or none for the end of the day; drawn from the seed if not given."""
+    failures, trace, broken = [], [], []
+
+    def observe(event):
+        if event.get("isError") and "log_failure" in event:
+            failures.append(event["log_failure"].getTraceback()[-900:])
+    log.addObserver(observe)
+    try:
+        world, operators, status, took_ms = open_(seed, shape, prepare)
+        if status != 200 or took_ms < 0:
+            broken.append(Broken("FOUND", f"first configuration {status}, all ready after {took_ms}"))
+        random = Random(seed * 7919 + 1)
+        for runner in world.runners.values():
+            runner.odds = dict(odds)
+        crowd, from_ms = crowd_of(world, "c"), world.now_ms()
+        for daemon in world.of("edge"):
+            probe(world, crowd, daemon)
+        crowd.arrive(from_ms + storm_ms, load_ms)
+        changes(world, random, operators, from_ms + storm_ms)
+        kinds = sorted(kinds if kinds is not None else [*KINDS, "retire"])
+        if kinds:
+            storm(world, random, operators, kinds, from_ms + storm_ms, gap_ms, trace)
+        world.run(from_ms + storm_ms)
+        heal(world)
+        close(world, random, operators, crowd, closing or random.choice(("power", "kill", "wipe", "none")), trace)
+        healed_ms = world.now_ms()
+        back_ms = settle(world, world.notes.sheet["recovery"])
+        if back_ms < 0:
+            broken.append(Broken("RECOVER", f"not all edges ready {world.notes.sheet['recovery']} ms after the healing"))
+        world.run(max(world.now_ms(), healed_ms + world.notes.sheet["recovery"]))
+        first = len(world.notes.tries)
+        crowd.arrive(world.now_ms() + 3000, 100)
+        acked = await_(world, operators[0].modify(world.now_ms() + world.notes.sheet["ack"] + 2000), 8000)
+        world.run(world.now_ms() + 9000)
+        late = world.notes.tries[first:]
+        served = sum(t.whole and 200 <= t.status < 300 for t in late) / max(1, len(late))
+        if served < 0.25:
+            broken.append(Broken("RECOVER", f"{served:.2f} of {len(late)} served: {Counter(t.status for t in late)}"))
+        document = await_(world, operators[0].read(world.now_ms() + 5000), 6000)
+        broken += judged(world, document)
+        odd = [*inner(world), *failures]
+        if not acked or acked not in (200, 400):
+            odd.append(f"a change in calm times got {acked}")
+    finally:
+        log.removeObserver(observe)
+    acks = Counter("acked" if v.acked_ms >= 0 else str(v.no or "unclear") for v in world.notes.versions)
+    return world, Report(
+        seed, broken, odd, dict(Counter(t.status for t in world.notes.tries)), len(world.notes.runs), took_ms,
+        back_ms, served, dict(acks), trace)
+
+
+def close(world, random, operators, crowd, closing, trace):
+    """A closing fault right after a change or a turn was acknowledged."""
+    if closing == "none":
+        return
+    world.run(world.now_ms() + 5000)
+    while troubles.lost(world):
+        world.run(world.now_ms() + 200)
+    crowd.arrive(world.now_ms() + 1500, 100)
+    fallen, wiped = [], min(world.shape.tolerated if closing == "wipe" else 0, len(world.of("storage")) - 1)
+
+    def fall(request=None):
+        if not fallen and (request is None or random.random() < 0.2):
+            fallen.append(world.now_ms() + troubles.all_down(world, random, closing != "kill", wiped))
+            trace.append((round(world.now_ms()), f"all down {closing}"))
+    if random.random() < 0.5:
+        world.notes.tap = fall
+        world.run(world.now_ms() + 1500)
+        world.notes.tap = lambda request: None
+    else:
+        await_(world, operators[0].modify(world.now_ms() + 5000), 6000)
+    fall()
+    world.run(fallen[0] + 10)
+    crowd.arrive(world.now_ms() + 1000, 200)
--- /dev/null
+++ b/tests/copse/world.py
@@ -0,0 +1,237 @@
+"""A deployment on the users' machines: real storage, core and edge daemons on simulated machines."""
+import os
+from contextlib import contextmanager
+from random import Random
+from types import SimpleNamespace
+
+from msgspec import Struct
+
+from frostpost.canopy import leaf as assembly
+from frostpost.canopy import ring
+from frostpost.orchard.machine import Machine
+from frostpost.platform import listening, settings
+from frostpost.silo import store
+from frostpost.silo.segments import SiloFiles
+
+from frostpost.weather import drives
+from .clock import Rig, Wheel
+from .list import raise_listing
+from .notes import Notes
+from .runners import Runner, raise_runner
+from frostpost.weather.net import Net
+
+FRONT, READINESS, CONTROL, INNER, RUNNER = 8149, 8141, 8144, 7380, 9000
+SHEET = {"contact": 3000, "ack": 4000, "drain": 3000, "apply": 2000, "recovery": 12000, "window": 8000, "keep": 20000}
+RESTART_MS = 300
+POOLS = (("model", 3, 6, True), ("model2", 2, 6, True), ("tools", 3, 6, False), ("tools2", 2, 6, False))
+
+
+class Shape(Struct):
+    """Counts are per zone."""
+    zones: int = 3
+    edges: int = 1
+    storages: int = 1
+    cores: int = 1
+    seeds: int = 3
+    tolerated: int = 1
+    tolerated_zones: int = 0
+
+
+class Daemon(Struct):
+    name: str
+    role: str
+    zone: str
+    host: object
+    drive: drives.Drive
+    first: bool = True
+    owner: object = None
+    exits: list = []
+    gone: bool = False
+    lives: int = 0
+    since_ms: float = 0.0
+
+
+class World:
+    def __init__(self, seed, shape):
+        self.seed, self.shape, self.random = seed, shape, Random(seed)
+        self.net = Net(Random(seed * 31 + 7))
+        self.net.clock = Wheel()
+        self.notes, self.daemons, self.runners, self.out = Notes(dict(SHEET)), {}, {}, {}
+        self.zones, self.starts, self.serial = [f"z{n}" for n in range(shape.zones)], [], 0
+        self.listing = raise_listing(self.add_host("platform", "z0"), self.notes, 800)
+        self.callers = self.add_host("callers", "z0")
+        self.seeds, self.settled_ms = [], 0.0
+
+    def now_ms(self):
+        return self.net.clock.seconds() * 1000
+
+    def later(self, wait_ms, call, *args):
+        return self.net.clock.callLater(wait_ms / 1000, call, *args)
+
+    def run(self, until_ms):
+        self.net.clock.run(until_ms / 1000)
+
+    def add_host(self, name, zone, address=None):
+        address = address or f"10.0.{len(self.net.hosts) // 200}.{len(self.net.hosts) % 200 + 1}"
+        host = self.net.hosts[address] = Rig(self.net, name, address, zone)
+        return host
+
+    def of(self, *roles):
+        return [d for d in self.daemons.values() if d.role in roles and not d.gone]
+
+
+def make(seed, shape=None, pools=POOLS):
+    world = World(seed, shape or Shape())
+    for role, many in (("core", world.shape.cores), ("storage", world.shape.storages), ("edge", world.shape.edges)):
+        for zone in world.zones:
+            for n in range(many):
+                add(world, f"{role}-{zone}-{n + 1}", role, zone)
+    cores = [d for n in range(world.shape.cores) for d in world.of("core") if d.name.endswith(f"-{n + 1}")]
+    world.seeds = [f"{d.host.address}:{CONTROL}" for d in cores[:world.shape.seeds]]
+    for service, many, slots, streams in pools:
+        for n in range(many):
+            add_runner(world, service, slots, streams, world.zones[n % len(world.zones)])
+    for _, runner_id, _ in world.notes.shown:
+        world.listing.history[0][1].update({runner_id: world.listing.history[-1][1][runner_id]})
+    return world
+
+
+def add(world, name, role, zone):
+    host = world.add_host(name, zone)
+    host.alive = False
+    drive = drives.Drive(Random(world.random.random()))
+    drive.delayMs = 2.0
+    host.threadMs = lambda: drive.delayMs * (0.5 + world.random.random())
+    daemon = world.daemons[name] = Daemon(name, role, zone, host, drive)
+    return daemon
+
+
+def add_runner(world, service, slots, streams, zone, host=None, odds=None):
+    world.serial += 1
+    host = host or world.add_host(f"runner{world.serial}", zone)
+    runner = Runner(f"i{world.serial}", service, host, RUNNER, zone, slots, streams, world.notes,
+                    Random(world.random.random()), dict(odds or {}), pace_ms=world.random.uniform(8, 30),
+                    tells_load=world.random.random() < 0.5)
+    world.runners[runner.id] = raise_runner(runner)
+    world.listing.change(runner, "available")
+    return runner
+
+
+def document_of(world, daemon):
+    address, sheet = daemon.host.address, world.notes.sheet
+    bound = {"edge": {"front": FRONT, "readiness": READINESS}, "core": {"control": CONTROL}, "storage": {}}
+    serves = {"edge": ["edge"], "core": ["control"], "storage": ["storage"]}
+    return {
+        "node-name": daemon.name, "role": "x", "machine-class": daemon.role, "serves": serves[daemon.role],
+        "ip": address, "zone": daemon.zone, "region": "r", "zones": {z: "r" for z in world.zones},
+        "bind-addresses": {k: f"{address}:{p}" for k, p in bound[daemon.role].items()},
+        "port-range": [INNER, INNER + 15], "seeds": list(world.seeds), "initial-start": daemon.first,
+        "limits": {"memory-mb": 260, "max-fds": 4100, "disk-mb": 0 if daemon.role == "edge" else 200},
+        "data-dir": None if daemon.role == "edge" else f"/{daemon.name}",
+        "tolerance": {"machines": world.shape.tolerated, "zones": world.shape.tolerated_zones, "regions": 0},
+        "timers": {
+            "contact-ms": sheet["contact"], "ack-ms": sheet["ack"], "catch-up-s": 3, "drain-ms": sheet["drain"],
+            "grace-s": 8, "loss-slack-ms": 200, "apply-ms": sheet["apply"], "key-window-s": sheet["window"] / 1000,
+            "recovery-s": sheet["recovery"] / 1000, "transit-ms": 120},
+        "cloud-api": {"address": f"{world.listing.host.address}:80", "rate-per-s": 44.0}}
+
+
+def files_of(drive):
+    base = drives.filesOf(drive)
+
+    def unlink(path):
+        drives.touch(drive, "unlink")
+        if path not in drive.names:
+            raise FileNotFoundError(path)
+        del drive.names[path]
+    return SiloFiles(
+        **{field: getattr(base, field) for field in base.__struct_fields__}, unlink=unlink,
+        pread=lambda fd, length, offset: bytes(drive.held[fd].data[offset:offset + length]),
+        listdir=lambda folder: [os.path.basename(p) for p in drive.names if os.path.dirname(p) == folder])
+
+
+@contextmanager
+def silo_on(files):
+    """The ring opens its silo on the real disk; here it is to be the simulated one."""
+    kept, ring.store = ring.store, SimpleNamespace(
+        open_=lambda folder, machine, **more: store.open_(folder, machine, files=files, **more), expire=store.expire)
+    try:
+        yield
+    finally:
+        ring.store = kept
+
+
+def start(world, daemon):
+    """Start a daemon's process on its disk."""
+    if daemon.gone or daemon.host.alive and daemon.owner is not None:
+        return
+    host, token = daemon.host, Random(world.random.random())
+    host.boot()
+    daemon.lives, daemon.since_ms = daemon.lives + 1, world.now_ms()
+    files, life = files_of(daemon.drive), host.life
+    world.starts.append((host.address, world.now_ms()))
+
+    def stop(code):
+        host.callLater(0, ended, world, daemon, life, code)
+    machine = Machine(seconds=host.seconds, wallS=lambda: 1.8e9 + host.seconds(), inThread=host.inThread,
+                      token=lambda size: token.randbytes(size).hex(), sleep=lambda wait_s: None, files=files)
+    told = settings.from_document(document_of(world, daemon)).ok
+    try:
+        if daemon.role == "storage":
+            with silo_on(files):
+                daemon.owner = ring.assemble(told, host, machine, stop)
+            host.enter(ring.start, daemon.owner)
+        else:
+            front = listening.make_front()
+            daemon.owner = assembly.make_leaf(told, front, host, machine)
+            host.enter(assembly.start_leaf, daemon.owner, front, stop)
+    except OSError as fault:
+        ended(world, daemon, life, type(fault).__name__)
+
+
+def ended(world, daemon, life, code):
+    if daemon.host.life != life or not daemon.host.alive:
+        return
+    daemon.exits.append((world.now_ms(), code))
+    kill(world, daemon)
+    if code != 0:
+        world.later(RESTART_MS, start, world, daemon)
+
+
+def kill(world, daemon, power=False):
+    if daemon.host.alive:
+        jobs = daemon.host.die(power)
+        (drives.losePower if power else drives.kill)(daemon.drive, jobs)
+    elif power:
+        drives.losePower(daemon.drive, [])
+    daemon.owner, daemon.host.powered = None, not power
+
+
+def wipe(world, daemon):
+    kill(world, daemon, True)
+    drives.wipe(daemon.drive)
+
+
+def leave(world, daemon):
+    """SIGTERM."""
+    if not daemon.host.alive or daemon.owner is None:
+        return
+    life, host = daemon.host.life, daemon.host
+
+    def stop(code):
+        host.callLater(0, ended, world, daemon, life, code)
+    host.enter(*((ring.leave, daemon.owner) if daemon.role == "storage" else (assembly.leave_leaf, daemon.owner, stop)))
+
+
+def fronts(world, zone):
+    """Edges that the platform passes new connections to."""
+    edges = world.of("edge")
+    here = [d for d in edges if d.zone == zone]
+    good = [d for d in here if world.out.get(d.name, 0) < 2]
+    if len(good) * 2 < len(here):
+        good = here if good else [d for d in edges if world.out.get(d.name, 0) < 2] or here
+    return [(d.host.address, FRONT) for d in good or edges]
+
+
+def controls(world):
+    return [(d.host.address, CONTROL) for d in world.of("core")]
--- /dev/null
+++ b/tests/test_copse_edges.py
@@ -0,0 +1,116 @@
+"""The ends of windows, and one loss right after another was made good."""
+from collections import defaultdict
+from random import Random
+
+import pytest
+
+from frostpost.coppice.apply import act
+from frostpost.coppice.state import Coppice
+from frostpost.coppice.words import Begin, Begun, Candidate, End, Ended
+from copse import judge as judge
+from copse import stage as plays
+from copse import troubles as troubles
+from copse import works as works
+from copse import world as worlds
+from copse.crowd import MOST_TOKENS
+from copse.notes import Trouble
+
+PHASES_MS = (0, 90, 180, 270, 360, 450)
+
+
+@pytest.fixture
+def opened():
+    world, operators, status, took_ms = plays.open_(5)
+    assert status == 200 and took_ms >= 0
+    return world, plays.crowd_of(world, "c")
+
+
+def tries_of(world):
+    return {t.try_id: t for t in world.notes.tries}
+
+
+def runs_of(world):
+    found = defaultdict(list)
+    for run in world.notes.runs:
+        found[run.try_id].append(run)
+    return found
+
+
+def test_a_repeat_at_the_end_of_its_window_runs_nothing(opened):
+    world, crowd = opened
+    for number, phase_ms in enumerate(PHASES_MS):
+        def ask(key=f"k{number}"):
+            return crowd.tried("z0", "/keyed/c", "p", 1, key=key, body=b"once")
+        for wait_ms in (0, world.notes.sheet["window"] - 60):
+            world.later(1000 * number + phase_ms + wait_ms, ask)
+    world.run(world.now_ms() + 6000 + world.notes.sheet["window"] + 2000)
+    assert len(world.notes.runs) >= len(PHASES_MS)
+    assert [b.text for b in judge.twice(world, runs_of(world), tries_of(world))] == []
+
+
+def test_a_turn_may_be_followed_until_its_retention_ends(opened):
+    world, crowd = opened
+
+    def follow(done):
+        world.later(world.notes.sheet["keep"] - 60, crowd.turn, "z1", "q", 20 * MOST_TOKENS, done.try_id)
+    for number, phase_ms in enumerate(PHASES_MS):
+        world.later(700 * number + phase_ms, lambda: crowd.turn("z0", "p", 20 * MOST_TOKENS, "").addCallback(follow))
+    world.run(world.now_ms() + 6000 + world.notes.sheet["keep"] + 2000)
+    assert len(crowd.turns) >= len(PHASES_MS)
+    assert [b.text for b in judge.lost(world, tries_of(world))] == []
+
+
+@pytest.mark.parametrize("outage_ms", [2000, 5000, 12000, 13500])
+def test_drains_are_seen_in_time_after_the_list_was_down(opened, outage_ms):
+    world, crowd = opened
+    world.run(world.now_ms() + 1000)
+    trouble = Trouble("list", (), world.now_ms())
+    world.notes.list_troubles.append(trouble)
+    world.listing.down = True
+    world.run(world.now_ms() + outage_ms)
+    world.listing.down, trouble.until_ms = False, world.now_ms()
+    works.drain_runner(world, Random(2))
+    crowd.arrive(world.now_ms() + 8000, 80)
+    world.run(world.now_ms() + 13000)
+    assert [b.text for b in judge.drains(world, tries_of(world))] == []
+
+
+def replace(world, daemon):
+    worlds.wipe(world, daemon)
+    daemon.gone = True
+    world.serial += 1
+    fresh = worlds.add(world, f"storage-x{world.serial}", "storage", daemon.zone)
+    fresh.first = False
+    world.later(200, worlds.start, world, fresh)
+    return fresh
+
+
+@pytest.mark.parametrize("gap_ms", [50, 300, 1000])
+@pytest.mark.parametrize("first", [0, 1])
+def test_a_second_storage_machine_may_be_replaced_once_the_first_is_made_good(opened, first, gap_ms):
+    world, crowd = opened
+    world.run(world.now_ms() + 3000)
+    fresh = replace(world, world.of("storage")[first])
+    world.run(world.now_ms() + 200 + troubles.CATCH_UP_MS + gap_ms)
+    replace(world, next(d for d in world.of("storage") if d is not fresh))
+    world.run(world.now_ms() + 5000)
+    assert plays.settle(world, 7000) >= 0
+
+
+@pytest.mark.parametrize("gap_ms", [700, 1200, 1800, 2500])
+def test_a_newcomer_that_is_lost_again_while_it_catches_up_stops_nothing_for_good(opened, gap_ms):
+    world, crowd = opened
+    world.run(world.now_ms() + 3000)
+    fresh = replace(world, world.of("storage")[0])
+    world.run(world.now_ms() + 200 + gap_ms)
+    worlds.wipe(world, fresh)
+    world.later(300, worlds.start, world, fresh)
+    world.run(world.now_ms() + 6000)
+    assert plays.settle(world, 6000) >= 0
+
+
+def test_an_end_handed_in_again_is_decided_as_before():
+    coppice = Coppice()
+    begun = act(coppice, 0, (), (), Begin("a", "p", 100, 10, "", 1000, (Candidate("r", 4),)))
+    assert isinstance(begun, Begun)
+    assert [act(coppice, 5, (), (), End("a", 7)) for _ in range(2)] == [Ended(), Ended()]
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).parent.parent
 CODE = sorted((ROOT / "frostpost").rglob("*.py"))
-TESTS = sorted((ROOT / "tests").glob("*.py"))
+TESTS = sorted((ROOT / "tests").rglob("*.py"))
 CORE = [p for p in CODE if p.parent.name in ("hedgerow", "granary", "harvest", "trellis", "coppice")]
 THEIRS = {"forward", "refuse", "refused", "deadline", "route", "failure", "health", "attempt", "client", "choose", "answers_"}
 HOUSE = {"carry", "lane", "limit", "go", "cell", "turnaway", "consumer", "limitms"}
