--- a/frostpost/canopy/asking.py
+++ b/frostpost/canopy/asking.py
@@ -9,6 +9,7 @@
 
 from .context import count, now_ms
 from .lease import NEVER, lease_ok, ring_addresses, session
+from .tracing import handed_in, traced
 
 RETRY_MS = 500
 RESEND_MS = 300
@@ -41,6 +42,8 @@
     state.number += 1
     asked = Asked(state.number, encode(op), must, now + int(wait_ms), Deferred())
     state.open[asked.number] = asked
+    if traced(leaf):
+        handed_in(leaf, op, asked.answer)
     send(leaf, asked)
     return asked.answer
 
--- a/frostpost/canopy/leaf.py
+++ b/frostpost/canopy/leaf.py
@@ -8,7 +8,7 @@
 from frostpost.orchard.waiting import until
 from frostpost.silo import client as silo_client
 
-from . import asking, founding, lease, peers
+from . import asking, founding, lease, peers, status
 from .context import Leaf, now_ms
 
 RING = "storage"
@@ -26,6 +26,7 @@
     leaf.extras["fetch_list"] = lambda: front.fetch_list(leaf)
     leaf.extras["stops"] = []
     lease.session(leaf)
+    status.begin(leaf)
     if settings.control:
         founding.begin(leaf)
     if settings.data:
@@ -36,6 +37,8 @@
 def received(leaf, frame):
     """A frame from any daemon."""
     place, body = frame.place, frame.body
+    if status.leaf_answered(leaf, place, body):
+        return
     match body:
         case Grant():
             if lease.granted(leaf, place, body):
--- a/frostpost/canopy/ring.py
+++ b/frostpost/canopy/ring.py
@@ -19,7 +19,7 @@
 from frostpost.silo import store
 from frostpost.tending.ticking import tickLedger
 
-from . import peers, serving, tenders
+from . import peers, serving, status, tenders
 
 LOG_ENTRIES = 20000
 WINDOW = 2048
@@ -147,6 +147,8 @@
 def received(house, frame):
     """A frame from any daemon."""
     place, body, ctx = frame.place, frame.body, house.ctx
+    if status.ring_answered(house, place, body):
+        return None
     if isinstance(body, Directory):
         return directed(house, body)
     if isinstance(body, (SiloPut, SiloGet, SiloGot, SiloDone)):
--- a/frostpost/canopy/settings.py
+++ b/frostpost/canopy/settings.py
@@ -47,6 +47,7 @@
     detect_ms: int = 500
     tick_ms: int = 500
     cache_bytes: int = 24 << 20
+    trace: bool = False
 
 
 class Front(Struct, frozen=True):
--- /dev/null
+++ b/frostpost/canopy/tracing.py
@@ -0,0 +1,36 @@
+"""Lines that follow one attempt through a daemon, where its settings ask for them."""
+from frostpost.orchard.news import say
+
+from .context import now_ms
+
+
+def traced(leaf):
+    return getattr(leaf.settings, "trace", False)
+
+
+def handed_in(leaf, op, answer):
+    """Say that an operation is handed in, and its verdict when it comes; the answer stays what it is."""
+    attempt, from_ms = getattr(op, "attempt", None), now_ms(leaf)
+    if attempt is None:
+        return
+    operation = type(op).__name__
+    say("trace", attempt=attempt, at="handed in", operation=operation)
+
+    def decided(result):
+        verdict = result.ok if result.is_ok() else result.error
+        say("trace", attempt=attempt, at="decided", operation=operation, verdict=type(verdict).__name__,
+            took_ms=now_ms(leaf) - from_ms)
+        return result
+    answer.addCallback(decided)
+
+
+def taken(leaf, call, request):
+    """Say that a client's request is taken, and how it was answered when that is over."""
+    from_ms, ended = now_ms(leaf), request.on_over
+    say("trace", attempt=call.attempt, at="taken", host=call.host, program=call.program, key=call.key)
+
+    def over(lost):
+        say("trace", attempt=call.attempt, at="answered", status=request.code if request.startedWriting else 0,
+            lost=lost, took_ms=now_ms(leaf) - from_ms)
+        ended(lost)
+    request.on_over = over
--- a/frostpost/hedgerow/outer.py
+++ b/frostpost/hedgerow/outer.py
@@ -82,5 +82,15 @@
     items: tuple[tuple[str, bytes], ...]
 
 
+class StatusAsk(Struct, frozen=True, array_like=True, tag=34):
+    pass
+
+
+class StatusTell(Struct, frozen=True, array_like=True, tag=35):
+    """facts: a JSON object."""
+    facts: bytes
+
+
 OUTER = (
-    Hello, Directory, Renew, Grant, AskRing, Told, RoutingAsk, RoutingTell, SiloPut, SiloDone, SiloGet, SiloGot)
+    Hello, Directory, Renew, Grant, AskRing, Told, RoutingAsk, RoutingTell, SiloPut, SiloDone, SiloGet, SiloGot,
+    StatusAsk, StatusTell)
--- a/frostpost/hedgerow/words.py
+++ b/frostpost/hedgerow/words.py
@@ -1,7 +1,8 @@
 from msgspec import Struct
 
 from .outer import (
-    AskRing, Directory, Grant, Hello, Renew, RoutingAsk, RoutingTell, SiloDone, SiloGet, SiloGot, SiloPut, Told,
+    AskRing, Directory, Grant, Hello, Renew, RoutingAsk, RoutingTell, SiloDone, SiloGet, SiloGot, SiloPut, StatusAsk,
+    StatusTell, Told,
 )
 from .places import Member, Place
 
@@ -167,7 +168,7 @@
     | Submit | Batch | Ack | Safe | Ready | Fetch | Fill | Piece
     | BodyAsk | BodyPiece | NewsAsk | NewsTell
     | Hello | Directory | Renew | Grant | AskRing | Told | RoutingAsk | RoutingTell
-    | SiloPut | SiloDone | SiloGet | SiloGot
+    | SiloPut | SiloDone | SiloGet | SiloGot | StatusAsk | StatusTell
 )
 
 
--- a/frostpost/platform/front.py
+++ b/frostpost/platform/front.py
@@ -6,6 +6,7 @@
 from zope.interface import implementer
 
 from frostpost.canopy.context import now_ms
+from frostpost.canopy.tracing import taken, traced
 from frostpost.drove import failures
 from frostpost.drove.words import ClientBounds, Sink
 from frostpost.orchard.news import say
@@ -182,6 +183,8 @@
         if result.is_error():
             answer.failed(result.error)
             return
+        if traced(leaf):
+            taken(leaf, result.ok, request)
 
         def broken(failure):
             say("Internal", type=failure.type.__name__, text=failure.getErrorMessage()[:200],
--- a/frostpost/platform/settings.py
+++ b/frostpost/platform/settings.py
@@ -75,6 +75,7 @@
     "tolerance": table(machines=COUNT, zones=COUNT, regions=COUNT),
     "timers": table(**{name: NUMBER for name in TIMERS}),
     "cloud-api": table(address=ADDRESS, rate_per_s=NUMBER),
+    "frostpost-trace": {"type": "boolean", "nullable": True},
 }
 
 
@@ -137,6 +138,7 @@
     return Ok(DaemonSettings(
         name=document.get("node-name") or f"{role}-{host}", role=role, zone=document.get("zone") or "", host=host,
         port=port, seeds=seeds, first_start=bool(document.get("initial-start")), data=data,
+        trace=bool(document.get("frostpost-trace")),
         list_ms=max(50, int(min(LIST_MS, drain_ms * LIST_SHARE_OF_DRAIN))), **places, **fields))
 
 
--- /dev/null
+++ b/frostpost/pruner/fleet.py
@@ -0,0 +1,149 @@
+"""The whole fleet on the users' machines, asked daemon by daemon."""
+import sys
+
+from msgspec import DecodeError, Struct, json, to_builtins
+
+from frostpost.hedgerow.outer import Directory, Hello, StatusAsk, StatusTell
+
+from . import inner
+from .asking import DONE, FOUND, UNREACHED, say
+from .remedies import findings_of
+
+DEPTH = 3
+
+
+class Fleet(Struct):
+    """ring, leaves: name -> facts of those that answered. silent: name -> address of those that didn't.
+    zones: name -> zone of the ring's daemons. listed: the leaves as the ring sees them.
+    """
+    seeds_silent: list[str] = []
+    ring: dict[str, dict] = {}
+    leaves: dict[str, dict] = {}
+    ring_silent: dict[str, str] = {}
+    leaves_silent: dict[str, str] = {}
+    zones: dict[str, str] = {}
+    listed: dict[str, dict] = {}
+
+
+def take(fleet, answers):
+    """Sort facts in; -> addresses whose answer could be read."""
+    read = set()
+    for address, (place, tell) in answers.items():
+        try:
+            facts = json.decode(tell.facts, type=dict)
+        except DecodeError:
+            continue
+        read.add(address)
+        (fleet.ring if place.role == "storage" else fleet.leaves)[place.member.name] = facts
+        if place.role == "storage":
+            fleet.zones[place.member.name] = place.cell
+    return read
+
+
+def chief_of(fleet):
+    """Facts of the ring daemon that sequences the primary, or None; of two, that of the later configuration."""
+    found = [f for f in fleet.ring.values() if f.get("sequencing")]
+    return max(found, key=lambda f: f["configuration"]["epoch"], default=None)
+
+
+def leaves_listed(fleet):
+    """Leaves as the sequencer sees them; those that it never saw, as the daemons do that sequenced before."""
+    listed, chief = {}, chief_of(fleet)
+    for facts in fleet.ring.values():
+        for name, seen in facts.get("leaves", {}).items():
+            left_ms = listed.get(name, seen)["lease_left_ms"]
+            if left_ms is None or (seen["lease_left_ms"] or 0) >= left_ms:
+                listed[name] = seen
+    return listed | (chief["leaves"] if chief else {})
+
+
+def ring_of(ask, seeds):
+    """Name -> place of the ring's daemons, told by the seeds and by those that they tell of."""
+    places, asked, fresh = {}, set(), set(seeds)
+    for _ in range(DEPTH):
+        asked |= fresh
+        for _, told in ask(fresh, Hello(), Directory).values():
+            places |= {place.member.name: place for place in told.places if place.role == "storage"}
+        fresh = {address_of(place) for place in places.values()} - asked
+        if not fresh:
+            break
+    return places
+
+
+def address_of(place):
+    return f"{place.host}:{place.port}"
+
+
+def gather(seeds, ask=inner.ask):
+    """Fleet, as its daemons tell it; ask(addresses, body, kind) -> address -> (place, answer)."""
+    fleet = Fleet()
+    places = ring_of(ask, seeds)
+    ring = {name: address_of(place) for name, place in places.items()}
+    fleet.zones |= {name: place.cell for name, place in places.items()}
+    asked = {*seeds, *ring.values()}
+    reached = take(fleet, ask(asked, StatusAsk(), StatusTell))
+    fleet.seeds_silent = [seed for seed in seeds if seed not in reached]
+    fleet.ring_silent = {name: address for name, address in ring.items() if name not in fleet.ring}
+    fleet.listed = leaves_listed(fleet)
+    leaves = {name: seen["address"] for name, seen in fleet.listed.items()}
+    take(fleet, ask(set(leaves.values()) - asked, StatusAsk(), StatusTell))
+    fleet.leaves_silent = {name: address for name, address in leaves.items() if name not in fleet.leaves}
+    return fleet
+
+
+def state_of(facts):
+    if facts["charter_waiting"]:
+        return "waits for the charter"
+    if facts.get("recovering"):
+        return "recovering"
+    if facts.get("sequencing"):
+        return "sequencer"
+    return "member" if facts.get("primary_opened") else "no primary"
+
+
+def ring_row(name, facts):
+    id, silo = facts.get("configuration", {}), facts["silo"]
+    return [name, facts["zone"], state_of(facts), f"{id.get('epoch', '-')} by {id.get('proposer', '-')}",
+            f"{len(facts.get('members', ()))} members", f"applied {facts.get('applied', 0)}",
+            f"routing {facts.get('routing', {}).get('version', 0)}",
+            f"bodies {silo['bodies']}, missing {silo['missing']}", "DISK UNWELL" if facts["disk_unwell"] else "disk well"]
+
+
+def leaf_row(name, facts):
+    routing, runners = facts["routing"], facts["runners"]
+    return [name, facts["zone"], facts["role"], f"lease {facts['lease_left_ms']} ms of {facts['sequencer'] or '-'}",
+            f"routing {routing['held']}/{routing['known']}", f"open {facts['open_asks']}",
+            f"flights {facts['flights']}", f"runners {runners['known']}, draining {runners['draining']}, "
+            f"resting {runners['resting']}", "leaving" if facts["leaving"] else ""]
+
+
+def table(rows):
+    if not rows:
+        return []
+    widths = [max(map(len, column)) for column in zip(*rows)]
+    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip() for row in rows]
+
+
+def text_of(fleet):
+    chief = chief_of(fleet)
+    lines = [f"voters: {', '.join(chief['voters'])}" if chief else "no primary"]
+    lines += table([ring_row(*one) for one in sorted(fleet.ring.items())])
+    lines += table([leaf_row(*one) for one in sorted(fleet.leaves.items())])
+    silent = sorted((fleet.ring_silent | fleet.leaves_silent).items())
+    return "\n".join([*lines, *(f"{name} at {address}: no answer" for name, address in silent)])
+
+
+def run(command, _):
+    addresses = {given: inner.resolved(given) for given in command.seed}
+    fleet = gather([address for address in addresses.values() if address])
+    fleet.seeds_silent += [given for given, address in addresses.items() if address is None]
+    if not fleet.ring and not fleet.leaves:
+        print(f"Unreached: {', '.join(command.seed)}: no daemon answers there", file=sys.stderr)
+        return UNREACHED
+    if not command.doctor:
+        say(command, to_builtins(fleet), text_of(fleet))
+        return DONE
+    findings = findings_of(fleet, chief_of(fleet))
+    text = "\n".join(f"{f.fault} at {f.where}: {f.cause}; {f.remedy}" for f in findings)
+    say(command, to_builtins(findings), text or f"{len(fleet.ring) + len(fleet.leaves)} daemons are in order")
+    return FOUND if findings else DONE
--- a/frostpost/pruner/main.py
+++ b/frostpost/pruner/main.py
@@ -4,7 +4,7 @@
 import cappa
 from msgspec import Struct
 
-from . import configs, doctor, pasts, sights
+from . import configs, doctor, fleet, pasts, sights
 from .asking import Door
 
 DOOR = Annotated[str, cappa.Arg(long="--door", help="IP:port of any daemon", default=cappa.Env("FROSTPOST_DOOR"))]
@@ -103,23 +103,31 @@
     json: TEXT = False
 
 
+@cappa.command(name="fleet", help="Print every daemon of a fleet on the users' machines, asked over the inner addresses.")
+class Fleet(Struct, kw_only=True):
+    seed: Annotated[list[str], cappa.Arg(long="--seed", required=True, help="IP:port, the inner address of any daemon")]
+    doctor: Annotated[bool, cappa.Arg(long=True, help="look for common faults; exit status 1 if any is found")] = False
+    json: TEXT = False
+
+
 @cappa.command(name="pruner", help="The operators' command for frostpost.")
 class Pruner(Struct):
     command: cappa.Subcommands[
-        Apply | Diff | Get | History | Rollback | Remove | Drain | Status | Members | Runners | Explain | Voters | Doctor]
+        Apply | Diff | Get | History | Rollback | Remove | Drain | Status | Members | Runners | Explain | Voters | Doctor
+        | Fleet]
 
 
 ACTS = {
     Apply: configs.apply, Diff: configs.diff, Get: configs.get,
     History: pasts.history, Rollback: pasts.rollback, Remove: pasts.remove, Drain: sights.drain,
     Status: sights.status, Members: sights.members, Runners: sights.runners,
-    Explain: sights.explain, Voters: sights.voters, Doctor: doctor.run,
+    Explain: sights.explain, Voters: sights.voters, Doctor: doctor.run, Fleet: fleet.run,
 }
 
 
 def main():
     command = cappa.parse(Pruner).command
-    return ACTS[type(command)](command, Door(command.door))
+    return ACTS[type(command)](command, Door(getattr(command, "door", "")))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_fleet_status.py
@@ -0,0 +1,227 @@
+import socket
+import struct
+from threading import Thread
+from types import SimpleNamespace
+
+import pytest
+from msgspec import json
+from twisted.internet.task import Clock
+
+from copse import stage as plays
+from copse import world as worlds
+from frostpost.canopy import asking, ring, status
+from frostpost.canopy import leaf as assembly
+from frostpost.coppice.words import End
+from frostpost.hedgerow.outer import Directory, Hello, Renew, StatusAsk, StatusTell
+from frostpost.hedgerow.words import VERSION, Frame, Member, Place, Roster
+from frostpost.pruner import fleet as fleets
+from frostpost.pruner import inner
+from frostpost.pruner import main as pruner_main
+from frostpost.pruner.remedies import findings_of
+from test_canopy_lease import new_leaf, place_of, sent
+from test_canopy_ring import hellos, new_house
+
+OPERATOR = Place(Member("operator", 1), "operator", "", "o", 9, 0)
+ASK = Frame(VERSION, OPERATOR, "", StatusAsk())
+
+
+@pytest.fixture
+def replies(monkeypatch):
+    out = []
+    monkeypatch.setattr(status, "sender", lambda ctx: lambda to, body: out.append((to, body)))
+    return out
+
+
+def facts_of(replies):
+    (to, tell), = replies
+    replies.clear()
+    assert to == "@o:9"
+    return json.decode(tell.facts)
+
+
+def test_messages_survive_the_wire():
+    for body in (StatusAsk(), StatusTell(b"{}")):
+        assert inner.decode(inner.encode(Frame(VERSION, OPERATOR, "", body))).body == body
+
+
+def test_leaf_tells_its_facts(replies):
+    clock = Clock()
+    leaf = new_leaf(clock)
+    status.begin(leaf)
+    clock.advance(2)
+    assembly.received(leaf, Frame(VERSION, place_of("s1"), "", Roster((), False)))
+    asking.tell(leaf, End("a", 3))
+    leaf.runners = {"r": SimpleNamespace(draining=True)}
+    leaf.loads = {"r": SimpleNamespace(resting_until_ms=9999), "gone": SimpleNamespace(resting_until_ms=9999)}
+    assembly.received(leaf, ASK)
+    facts = facts_of(replies)
+    assert (facts["name"], facts["role"], facts["uptime_ms"], facts["lease_left_ms"]) == ("e1", "edge", 2000, 0)
+    assert (facts["ring"], facts["open_asks"]) == (["s1"], 1)
+    assert facts["runners"] == {"known": 1, "draining": 1, "resting": 1}
+
+
+def test_a_leaf_keeps_nothing_of_an_operator(replies):
+    leaf = new_leaf(Clock())
+    for body in (Hello(), Roster((place_of("s9"),), False), Renew(0, 0)):
+        assembly.received(leaf, Frame(VERSION, OPERATOR, "", body))
+    assert replies == [("@o:9", Directory((), ()))] and sent(leaf) == []
+    assert leaf.extras.get("askers") is None and not leaf.directory
+
+
+def test_a_leaf_still_notes_a_leaf_that_asks():
+    leaf = new_leaf(Clock())
+    assembly.received(leaf, Frame(VERSION, place_of("e2", "edge"), "", Hello()))
+    assert set(leaf.extras["askers"]) == {"e2"}
+
+
+def test_a_ring_daemon_answers_before_and_after_it_has_its_charter(monkeypatch, replies):
+    house, out, _ = new_house(monkeypatch)
+    ring.start(house)
+    ring.received(house, ASK)
+    facts = facts_of(replies)
+    assert facts["charter_waiting"] and facts["tolerated"] == 1 and "configuration" not in facts
+    ring.received(house, Frame(VERSION, place_of("c1", "core"), "", Directory((), ("s1", "s2", "s3"))))
+    ring.received(house, ASK)
+    facts = facts_of(replies)
+    assert facts["members"] == ["s1"] and not facts["primary_opened"] and facts["voters"] == ["s1", "s2", "s3"]
+    out.clear()
+    ring.received(house, Frame(VERSION, OPERATOR, "", Hello()))
+    ring.received(house, Frame(VERSION, OPERATOR, "", Renew(0, 0)))
+    assert replies == [("@o:9", Directory((house.ctx.place,)))]
+    assert not house.sessions.leaves and "operator" not in house.ctx.core.hedge.peers and hellos(out) == []
+
+
+def asker(world, replies):
+    """Asks daemons of a simulated deployment; those that are dead don't answer."""
+    def ask(addresses, body, kind):
+        answers = {}
+        for daemon in world.daemons.values():
+            if f"{daemon.host.address}:{worlds.INNER}" not in addresses or daemon.owner is None or not daemon.host.alive:
+                continue
+            receive = ring.received if daemon.role == "storage" else assembly.received
+            receive(daemon.owner, Frame(VERSION, OPERATOR, "", body))
+            place = daemon.owner.ctx.place if daemon.role == "storage" else daemon.owner.place
+            answers |= {f"{daemon.host.address}:{worlds.INNER}": (place, told) for _, told in replies if isinstance(told, kind)}
+            replies.clear()
+        return answers
+    return ask
+
+
+@pytest.fixture(scope="module")
+def world():
+    world = worlds.make(4)
+    for daemon in list(world.daemons.values()):
+        worlds.start(world, daemon)
+    assert plays.await_(world, plays.operator_of(world, "a").found(), 40000) == 200
+    assert plays.settle(world, 15000) >= 0
+    return world
+
+
+def looked(world, replies):
+    seeds = [f"{d.host.address}:{worlds.INNER}" for d in world.of("core")]
+    fleet = fleets.gather(seeds, asker(world, replies))
+    return fleet, findings_of(fleet, fleets.chief_of(fleet))
+
+
+def test_a_whole_deployment_is_found_and_in_order_until_a_voter_dies(world, replies):
+    fleet, findings = looked(world, replies)
+    assert findings == []
+    assert set(fleet.ring) == {d.name for d in world.of("storage")}
+    assert set(fleet.leaves) == {d.name for d in world.of("core", "edge")}
+    text = fleets.text_of(fleet)
+    assert all(name in text for name in world.daemons) and "sequencer" in text
+    chief = fleets.chief_of(fleet)["name"]
+    killed, leaf = next(d for d in world.of("storage") if d.name != chief), world.of("edge")[0]
+    for daemon in (killed, leaf):
+        worlds.kill(world, daemon)
+    world.run(world.now_ms() + 3000)
+    fleet, findings = looked(world, replies)
+    assert {(f.fault, f.where) for f in findings} == {
+        ("VoterAway", killed.name), ("Silent", killed.name), ("Silent", leaf.name)}
+    assert all(f.cause and f.remedy for f in findings)
+    assert f"{killed.name} at {killed.host.address}:{worlds.INNER}: no answer" in fleets.text_of(fleet)
+
+
+def chief(**changes):
+    return {"name": "s1", "zone": "a", "charter_waiting": False, "tolerated": 1, "disk_unwell": False, "refilled": True,
+            "silo": {"bodies": 1, "missing": 0, "bytes": 9, "lost": False}, "members": ["s1", "s2", "s3"],
+            "configuration": {"epoch": 3, "proposer": "s1", "boot": 1}, "sequencing": True, "primary_opened": True,
+            "voters": ["s1", "s2", "s3"], "routing": {"version": 7, "honoured": 7}, "retiring": {}, "leaves": {}} | changes
+
+
+def leaf_facts(**changes):
+    return {"name": "e1", "zone": "a", "lease_left_ms": 900, "routing": {"held": 7, "known": 7, "honoured": 7},
+            "list": {"wanted": True, "address": "h:1", "fetched": True}} | changes
+
+
+def fleet_of(first, leaf=None, others=(), zones="abc"):
+    daemons = {"s1": first} | {n: chief(name=n, sequencing=False) for n in ("s2", "s3")} | dict(others)
+    return fleets.Fleet(ring=daemons, leaves={"e1": leaf or leaf_facts()}, zones=dict(zip(("s1", "s2", "s3"), zones)))
+
+
+RETIRING = {"retiring": {"s3": "in_service"}}
+FOUR = {"voters": ["s1", "s2", "s3", "s4"], "members": ["s1", "s2", "s3", "s4"]}
+LACKING = chief(name="s2", sequencing=False, silo={"bodies": 0, "missing": 2, "bytes": 0, "lost": False})
+ELSEWHERE = chief(name="s2", sequencing=False, configuration={"epoch": 4, "proposer": "s2", "boot": 1})
+
+
+@pytest.mark.parametrize("fleet,faults", [
+    (fleet_of(chief()), set()),
+    (fleet_of(chief(sequencing=False)), {("NoPrimary", "s1, s2, s3")}),
+    (fleet_of(chief(charter_waiting=True)), {("CharterWaiting", "s1")}),
+    (fleet_of(chief(members=["s1", "s2"])), {("VoterAway", "s3")}),
+    (fleet_of(chief(**FOUR)), {("EvenVoters", "s1, s2, s3, s4")}),
+    (fleet_of(chief(tolerated=2)), {("FewVoters", "s1, s2, s3")}),
+    (fleet_of(chief(), zones="aab"), {("ZoneMajority", "a")}),
+    (fleet_of(chief(), zones="aaa"), set()),
+    (fleet_of(chief(disk_unwell=True)), {("DiskUnwell", "s1")}),
+    (fleet_of(chief(), others={"s2": LACKING}), {("BodiesMissing", "s2")}),
+    (fleet_of(chief(), others={"s2": ELSEWHERE}), {("Split", "2 in 3 by s1, 1 in 4 by s2")}),
+    (fleet_of(chief(**RETIRING)), {("RetiringStuck", "s3")}),
+    (fleet_of(chief(tolerated=0, **RETIRING)), set()),
+    (fleet_of(chief(tolerated=0, **RETIRING), others={"s2": LACKING}), {("RetiringStuck", "s3"), ("BodiesMissing", "s2")}),
+    (fleet_of(chief(retiring={"s3": "completed"})), {("RetiredStays", "s3")}),
+    (fleet_of(chief(), leaf_facts(lease_left_ms=0)), {("NoLease", "e1")}),
+    (fleet_of(chief(), leaf_facts(routing={"held": 6, "known": 7, "honoured": 6})), {("RoutingLag", "e1")}),
+    (fleet_of(chief(), leaf_facts(list={"wanted": True, "address": "", "fetched": False})), {("ListNeverFetched", "e1")}),
+    (fleet_of(chief(), leaf_facts(list={"wanted": False, "address": "", "fetched": False})), set()),
+])
+def test_each_fault_is_found_alone(fleet, faults):
+    found = findings_of(fleet, fleets.chief_of(fleet))
+    assert {(f.fault, f.where) for f in found} == faults and all(f.cause and f.remedy for f in found)
+
+
+def test_frames_that_come_in_pieces_are_read_once_whole():
+    data = inner.encode(ASK)
+    buffer = bytearray(struct.pack("!I", len(data)) + data + b"\0")
+    assert list(inner.frames_of(buffer)) == [ASK] and buffer == b"\0"
+    with pytest.raises(ValueError):
+        list(inner.frames_of(bytearray(b"\xff\xff\xff\xff")))
+
+
+def test_a_daemon_answers_to_the_port_that_the_command_listens_on():
+    daemon = socket.create_server(("127.0.0.1", 0))
+    port = daemon.getsockname()[1]
+
+    def serve():
+        connection, _ = daemon.accept()
+        with connection, connection.makefile("rb") as file:
+            frame = inner.decode(file.read(struct.unpack("!I", file.read(4))[0]))
+        place = Place(Member("c1", 1), "core", "z", "127.0.0.1", port, 0)
+        data = inner.encode(Frame(VERSION, place, "", StatusTell(b"{}")))
+        with socket.create_connection((frame.place.host, frame.place.port), 2) as back:
+            back.sendall(struct.pack("!I", len(data)) + data)
+    thread = Thread(target=serve, daemon=True)
+    thread.start()
+    answers = inner.ask({f"127.0.0.1:{port}", "127.0.0.1:1"}, StatusAsk(), StatusTell)
+    thread.join(2)
+    daemon.close()
+    assert {address: told.facts for address, (_, told) in answers.items()} == {f"127.0.0.1:{port}": b"{}"}
+
+
+def test_several_seeds_are_taken(monkeypatch):
+    seen = []
+    monkeypatch.setattr("sys.argv", ["pruner", "fleet", "--seed", "a:1", "--seed", "b:2", "--doctor"])
+    monkeypatch.setitem(pruner_main.ACTS, pruner_main.Fleet, lambda command, _: seen.append(command))
+    pruner_main.main()
+    assert (seen[0].seed, seen[0].doctor) == (["a:1", "b:2"], True)
--- /dev/null
+++ b/tests/test_platform_tracing.py
@@ -0,0 +1,66 @@
+"""Lines that follow an attempt, and configuration documents shown in the product's terms."""
+import pytest
+import yaml
+from msgspec import json, msgpack, structs
+from twisted.internet.task import Clock
+
+from frostpost.canopy import asking, tracing
+from frostpost.coppice.words import End, Ended, LookRouting
+from frostpost.hedgerow.outer import Told
+from frostpost.platform import main, settings
+from test_canopy_lease import new_leaf
+from test_platform_front import Fleet
+from test_platform_settings import DOCUMENT
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    out = []
+    monkeypatch.setattr(tracing, "say", lambda kind, **facts: out.append((kind, facts["attempt"], facts["at"], facts)))
+    return out
+
+
+@pytest.mark.parametrize("trace", [False, True])
+def test_operations_are_followed_only_where_the_settings_say_so(lines, trace):
+    leaf, verdicts = new_leaf(Clock()), []
+    leaf.settings = structs.replace(leaf.settings, trace=trace)
+    asking.look(leaf, LookRouting(), 100)
+    asking.tell(leaf, End("a", 3)).addCallback(verdicts.append)
+    asking.told(leaf, Told(leaf.place.member.boot, 2, msgpack.encode(Ended())))
+    assert verdicts[0].ok == Ended()
+    assert [line[:3] for line in lines] == [("trace", "a", "handed in"), ("trace", "a", "decided")][:2 * trace]
+    assert not trace or (lines[1][3]["operation"], lines[1][3]["verdict"]) == ("End", "Ended")
+
+
+@pytest.mark.parametrize("trace", [False, True])
+def test_requests_are_followed_only_where_the_settings_say_so(lines, trace):
+    fleet = Fleet()
+    fleet.leaf.settings.trace = trace
+    _, sink = fleet.ask()
+    sink.head(200, [])
+    sink.end()
+    assert fleet.said().startswith(b"HTTP/1.1 200") and fleet.leaf.calls == 0
+    assert [line[:3] for line in lines] == [("trace", "a1", "taken"), ("trace", "a1", "answered")][:2 * trace]
+    assert not trace or (lines[1][3]["status"], lines[1][3]["lost"]) == (200, False)
+
+
+def test_trace_is_a_field_of_ours_in_the_platforms_file():
+    document = yaml.safe_load(DOCUMENT)
+    assert not settings.from_document(document).ok.trace
+    assert settings.from_document({**document, "frostpost-trace": True}).ok.trace
+    assert settings.from_document({**document, "frostpost-trace": "x"}).error.path == "frostpost-trace"
+
+
+@pytest.mark.parametrize("text,status,told", [
+    ('{"issue": 4, "route-table": [], "service-table": []}', 0, None),
+    ('{"issue": 0, "route-table": [], "service-table": []}', 65, "RoutingInvalid: issue"),
+    ("{", 65, "RoutingInvalid"), (None, 65, "RoutingInvalid")])
+def test_a_configuration_document_is_shown_as_it_becomes(tmp_path, monkeypatch, capsys, text, status, told):
+    path = tmp_path / "document.json"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setattr("sys.argv", ["frostpost", "--routing", str(path)])
+    monkeypatch.setattr(main, "without_tls", lambda: None)
+    assert main.main() == status
+    out, err = capsys.readouterr()
+    assert err.startswith(told) if told else json.decode(out)["version"] == 4
