Tell all daemons what any one's list shows as leaving; read the list within its rate

Change: each daemon still reads the list itself, all together at half its rate; what a list shows as leaving goes with the lease renewals to the sequencer and back to all.

--- a/frostpost/canopy/lease.py
+++ b/frostpost/canopy/lease.py
@@ -24,6 +24,7 @@
     version: int = 0
     honoured: int = 0
     held: int = 0
+    leaves: int = 1
 
 
 def session(leaf):
@@ -68,7 +69,7 @@
 def renew(leaf):
     held, now = session(leaf), now_ms(leaf)
     held.renewed_ms = now
-    message = Renew(now, held.held, held.epoch)
+    message = Renew(now, held.held, held.epoch, tuple(leaf.extras.get("list_draining", ())))
     everywhere = now - held.heard_ms > 2 * (leaf.settings.lease_ms // RENEWS)
     for name, address in ring_addresses(leaf).items():
         if everywhere or name == held.sequencer:
@@ -101,6 +102,9 @@
     if grant.lease_ms > 0:
         held.until_ms = max(held.until_ms, grant.sent_ms + grant.lease_ms)
     held.voters, held.version, held.honoured = grant.voters, grant.version, grant.honoured
+    held.leaves = max(1, grant.leaves)
+    if grant.draining and "drained" in leaf.extras:
+        leaf.extras["drained"](grant.draining)
     if grant.places:
         leaf.directory = {p.member.name: p for p in grant.places}
         held.epoch = grant.epoch
--- a/frostpost/canopy/serving.py
+++ b/frostpost/canopy/serving.py
@@ -10,6 +10,7 @@
 
 ASK_MS = 5000
 GRACE_RATIO = 0.5
+DRAIN_MS = 15000
 encode = msgpack.Encoder().encode
 
 
@@ -22,11 +23,12 @@
 
 
 class Sessions(Struct):
-    """version_ms: when the routing in force here became so."""
+    """version_ms: when the routing in force here became so. draining: runners, and until when that is told."""
     leaves: dict[str, LeafSeen] = {}
     working: set[tuple[str, int, int]] = set()
     version: int = 0
     version_ms: int = 0
+    draining: dict[str, int] = {}
 
 
 def sequencing(ctx):
@@ -60,7 +62,16 @@
     places = () if message.epoch == epoch else tuple(
         p for p in (hedge.place, *(hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers)))
     return Grant(message.sent_ms, lease_ms, hedge.name, tuple(voters_of(ctx)),
-                 held, honoured(ctx, sessions), epoch, places)
+                 held, honoured(ctx, sessions), epoch, places,
+                 sum(s.until_ms > now for s in sessions.leaves.values()), drained(sessions, message.draining, now))
+
+
+def drained(sessions, told, now):
+    """What any leaf's own list shows as leaving is told to all."""
+    sessions.draining.update((runner, now + DRAIN_MS) for runner in told)
+    for runner in [r for r, until_ms in sessions.draining.items() if until_ms <= now]:
+        del sessions.draining[runner]
+    return tuple(sessions.draining)
 
 
 def follow(ctx, sessions):
--- a/frostpost/hedgerow/outer.py
+++ b/frostpost/hedgerow/outer.py
@@ -16,10 +16,11 @@
 
 class Renew(Struct, frozen=True, array_like=True, tag=24):
     """A leaf asks for its lease and tells which routing it honours; sent_ms is on its own clock.
-    epoch: the ring's configuration whose places it knows."""
+    epoch: the ring's configuration whose places it knows. draining: runners that its own list shows as leaving."""
     sent_ms: int
     version: int
     epoch: int = 0
+    draining: tuple[str, ...] = ()
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=25):
@@ -32,6 +33,8 @@
     honoured: int = 0
     epoch: int = 0
     places: tuple[Place, ...] = ()
+    leaves: int = 0
+    draining: tuple[str, ...] = ()
 
 
 class AskRing(Struct, frozen=True, array_like=True, tag=26):
--- a/frostpost/platform/listing.py
+++ b/frostpost/platform/listing.py
@@ -91,12 +91,12 @@
 def fetch_list(leaf):
     """Deferred[list[Runner]], all pages; fails with ListRefused, ListBroken or a connection's own error."""
     found, token = {}, None
-    for _ in range(MOST_PAGES):
+    for page in range(MOST_PAGES):
         runners, token = yield fetch_page(leaf, token)
         for runner in runners:
             if runner.id not in found or runner.draining:
                 found[runner.id] = runner
         if token is None:
-            leaf.extras["list_seen"] = True
+            leaf.extras["list_seen"], leaf.extras["list_pages"] = True, page + 1
             return list(found.values())
     raise ListBroken(200)
--- /dev/null
+++ b/tests/test_drove_roster.py
@@ -0,0 +1,79 @@
+"""The list of runners: how often it is read, and what is known of runners that leave."""
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import fail, succeed
+from twisted.internet.task import Clock
+
+from frostpost.canopy.context import Leaf
+from frostpost.canopy.lease import session
+from frostpost.drove import roster
+from frostpost.drove.words import Runner
+from frostpost.hedgerow.places import Member, Place
+from frostpost.orchard.machine import Machine
+
+
+def a_runner(name, **more):
+    return Runner(id=name, service="s", host="10.0.0.1", port=9, zone="z", slots=4, **more)
+
+
+def a_leaf(lists, **more):
+    clock = Clock()
+    settings = SimpleNamespace(**dict(dict(
+        list_ms=1200, drain_ms=3000, list_rate_per_s=44.0, lease_ms=1200, idle_ms=1000), **more))
+    place = Place(Member("e1", 1), "edge", "z", "h", 1, 0)
+    leaf = Leaf(settings, clock, place, Machine(seconds=clock.seconds, token=lambda _: "ffff"))
+    leaf.links["send"] = lambda to, body: leaf.extras.setdefault("sent", []).append(body)
+    leaf.directory, leaf.extras["reads"] = {}, []
+    session(leaf).sequencer = "s1"
+    leaf.directory = {"s1": Place(Member("s1", 1), "storage", "z", "h", 2, 0)}
+
+    def fetch():
+        leaf.extras["reads"].append(clock.seconds())
+        return lists()
+    leaf.extras["fetch_list"] = fetch
+    return leaf, clock
+
+
+def test_what_another_daemons_list_shows_as_leaving_gets_nothing_though_ones_own_list_lags():
+    leaf, clock = a_leaf(lambda: succeed([a_runner("r1"), a_runner("r2")]))
+    stop = roster.poll(leaf)
+    leaf.extras["drained"](("r1", "unknown"))
+    assert leaf.runners["r1"].draining and not leaf.runners["r2"].draining
+    clock.advance(3)
+    assert len(leaf.extras["reads"]) > 1 and leaf.runners["r1"].draining
+    clock.advance(20)
+    clock.advance(3)
+    assert not leaf.runners["r1"].draining
+    stop()
+
+
+def test_a_runner_seen_leaving_is_told_at_once_and_told_ones_are_not_told_on():
+    shown = [[a_runner("r1"), a_runner("r2")]]
+    leaf, clock = a_leaf(lambda: succeed(shown[-1]))
+    stop = roster.poll(leaf)
+    leaf.extras["drained"](("r2",))
+    assert leaf.extras.get("sent", []) == []
+    shown.append([a_runner("r1", draining=True), a_runner("r2")])
+    clock.advance(1.3)
+    assert [m.draining for m in leaf.extras["sent"]] == [("r1",)]
+    stop()
+
+
+@pytest.mark.parametrize("leaves, pages, rate, wanted_ms", [
+    (1, 1, 44.0, 1200), (3, 1, 44.0, 1200), (8, 1, 44.0, 2400), (66, 2, 44.0, 6000), (66, 2, 440.0, 2400)])
+def test_all_daemons_together_read_no_more_than_half_of_the_lists_rate(leaves, pages, rate, wanted_ms):
+    leaf, _ = a_leaf(lambda: succeed([]), list_rate_per_s=rate)
+    session(leaf).leaves, leaf.extras["list_pages"] = leaves, pages
+    assert roster.interval_ms(leaf) == wanted_ms
+    assert leaves * pages * 1000 / wanted_ms <= max(rate / 2, leaves * pages / 1.2)
+
+
+def test_a_list_that_is_down_is_tried_again_within_half_of_the_drain_bound():
+    leaf, clock = a_leaf(lambda: fail(OSError()))
+    stop = roster.poll(leaf)
+    for _ in range(200):
+        clock.advance(0.05)
+    reads = leaf.extras["reads"]
+    assert max(b - a for a, b in zip(reads, reads[1:])) <= 1.55
+    stop()
--- a/tests/test_drove_stage.py
+++ b/tests/test_drove_stage.py
@@ -45,7 +45,7 @@
 class Stage:
     def __init__(self, routes, runners=(), patch=None):
         self.reactor = MemoryReactorClock()
-        settings = SimpleNamespace(key_window_ms=1000, tick_ms=500, list_ms=1000, connection_share=0.5, zone="z")
+        settings = SimpleNamespace(key_window_ms=1000, tick_ms=500, lease_ms=1200, list_ms=1000, connection_share=0.5, zone="z")
         leaf = self.leaf = Leaf(settings, self.reactor, None,
                                 Machine(seconds=self.reactor.seconds))
         leaf.routing = Routing(1, tuple(routes), {
