A sequencer that opens greets the leaves it knows; a gathered ring proposes at once

Change: storage daemons keep the leaves' addresses on disk and greet them when they open; no wait before a proposal when all voters and known members are there.

--- a/frostpost/canopy/leaf.py
+++ b/frostpost/canopy/leaf.py
@@ -51,6 +51,8 @@
             silo_client.received(leaf, place.member.name, body)
         case Directory():
             lease.directed(leaf, body.places)
+            if place.role == RING and not lease.lease_ok(leaf):
+                lease.renew(leaf)
         case Hello():
             if place.role == RING:
                 founding.waits(leaf, place.member.name)
--- a/frostpost/canopy/peers.py
+++ b/frostpost/canopy/peers.py
@@ -1,4 +1,4 @@
-"""Addresses of the ring's daemons, kept on disk so that a start needs no seed."""
+"""Addresses of other daemons, kept on disk so that a start needs no seed."""
 from msgspec import Struct, msgpack
 
 from frostpost.furrow import disk as furrows
@@ -12,8 +12,8 @@
     writing: bool = False
 
 
-def open_(folder, machine):
-    furrow, payloads, _ = furrows.open_(folder, "peers", machine.files)
+def open_(folder, machine, name="peers"):
+    furrow, payloads, _ = furrows.open_(folder, name, machine.files)
     return Peers(furrow, machine, tuple(msgpack.decode(payloads[-1])) if payloads else ())
 
 
--- a/frostpost/canopy/ring.py
+++ b/frostpost/canopy/ring.py
@@ -6,7 +6,7 @@
 from frostpost.hedgerow.events import Left, Received
 from frostpost.hedgerow.memory import NOWHERE, replay
 from frostpost.hedgerow.outer import Directory, Hello, SiloDone, SiloGet, SiloGot, SiloPut
-from frostpost.hedgerow.state import Bounds
+from frostpost.hedgerow.state import Bounds, names
 from frostpost.hedgerow.words import SPEAKS, Member, Place, Roster
 from frostpost.orchard import core as cores
 from frostpost.orchard import disk as disks
@@ -30,7 +30,7 @@
 class House:
     """What a storage daemon holds beside its context."""
     __slots__ = ("ctx", "settings", "sessions", "tending", "silo", "reactor", "machine", "send", "records",
-                 "waiting", "charter", "tasks", "stop", "peers")
+                 "waiting", "charter", "tasks", "stop", "peers", "leaves", "greeted")
 
     def __init__(self, ctx, settings, stop):
         self.ctx, self.settings, self.stop = ctx, settings, stop
@@ -67,6 +67,7 @@
         say(type(fault).__name__, path=fault.path, offset=fault.offset)
     ctx.disk = disks.Keeper(ctx, furrow)
     house.peers = peers.open_(settings.data, machine)
+    house.leaves, house.greeted = peers.open_(settings.data, machine, "leaves"), None
     house.silo = store.open_(settings.data, machine, tell=lambda lost: told_by_disk(house, lost),
                              disk_bytes=settings.disk_mb * 600000 or 1 << 30)
     ctx.links = {"applied": lambda: serving.follow(ctx, house.sessions),
@@ -112,6 +113,8 @@
     loop(house, lambda: tenders.tend(ctx, house.tending, 2 * settings.tolerated + 1, settings.catch_up_ms), 0.15)
     loop(house, lambda: tidy(house), 10.0)
     loop(house, lambda: peers.keep(house.peers, ctx.core.hedge), 1.0)
+    loop(house, lambda: greet(house), 0.03)
+    loop(house, lambda: keep_leaves(house), 1.0)
     say("started", name=settings.name, founding=list(charter))
 
 
@@ -140,6 +143,27 @@
     ctx.core.hedge.news = {tenders.MISSING: house.silo.missing}
 
 
+def greet(house):
+    """A sequencer that has just opened tells the leaves that it knows, so that they need not look for it."""
+    ctx = house.ctx
+    hedge = ctx.core.hedge
+    if not serving.sequencing(ctx) or house.greeted == hedge.configuration.id:
+        return
+    house.greeted = hedge.configuration.id
+    places = tuple(p for p in (hedge.place, *(hedge.peers[n].place for n in names(hedge.configuration) if n in hedge.peers)))
+    known = {f"@{a}" for a in house.leaves.addresses} | {s.address for s in house.sessions.leaves.values()}
+    for address in sorted(known):
+        house.send(address, Directory(places))
+
+
+def keep_leaves(house):
+    """Addresses of leaves heard of late, by the sequencer as renewals come, by the others from what it greets."""
+    now = nowMs(house.ctx)
+    recent = [s.address[1:] for s in house.sessions.leaves.values() if s.until_ms > now]
+    if recent:
+        peers.keep_addresses(house.leaves, recent)
+
+
 def tidy(house):
     store.expire(house.silo, lambda turn: turn in house.ctx.core.granary.coppice.turns)
 
--- a/frostpost/hedgerow/membership.py
+++ b/frostpost/hedgerow/membership.py
@@ -8,7 +8,9 @@
 def patience(hedge, desired):
     rank = desired.index(hedge.me)
     grown = set(desired) - set(hedge.configuration.members)
-    base = hedge.bounds.joinMs if grown and not gathered(hedge, desired) else hedge.bounds.beatMs // 2
+    if gathered(hedge, desired):
+        return rank * hedge.bounds.proposalMs
+    base = hedge.bounds.joinMs if grown else hedge.bounds.beatMs // 2
     return base + rank * hedge.bounds.proposalMs
 
 
