Forget leaves that are gone; take new seeds into a running storage daemon

Cause: sessions of leaves were kept for ever, SIGHUP on a storage daemon changed nothing that it reports to.

--- a/frostpost/canopy/assembly.py
+++ b/frostpost/canopy/assembly.py
@@ -11,11 +11,20 @@
     result = front.reread()
     if result.is_ok():
         leaf.settings = result.ok
+        if result.ok.role == RING:
+            ring_seeds(leaf)
         say("settings", seeds=list(result.ok.seeds))
     else:
         say(type(result.error).__name__, path=result.error.path)
 
 
+def ring_seeds(house):
+    """A storage daemon reports to the seeds that its settings name now."""
+    if not house.waiting:
+        hedge = house.ctx.core.hedge
+        hedge.seeds = tuple(dict.fromkeys((*(f"@{s}" for s in house.settings.seeds), *hedge.seeds)))
+
+
 def run(settings, front):
     """Run one daemon until it is told to stop; -> its exit status."""
     from twisted.internet import reactor
--- a/frostpost/canopy/ring.py
+++ b/frostpost/canopy/ring.py
@@ -165,6 +165,7 @@
 
 
 def tidy(house):
+    serving.forget(house.sessions, nowMs(house.ctx))
     store.expire(house.silo, lambda turn: turn in house.ctx.core.granary.coppice.turns)
 
 
--- a/frostpost/canopy/serving.py
+++ b/frostpost/canopy/serving.py
@@ -11,6 +11,7 @@
 ASK_MS = 5000
 GRACE_RATIO = 0.5
 DRAIN_MS = 15000
+FORGET_MS = 600000
 encode = msgpack.Encoder().encode
 
 
@@ -51,7 +52,7 @@
     seen = sessions.leaves.get(place.member.name)
     address = f"@{place.host}:{place.port}"
     if seen is None or seen.boot != place.member.boot:
-        seen = LeafSeen(address, place.member.boot, message.version, 0)
+        seen = LeafSeen(address, place.member.boot, message.version, now - 1)
         sessions.leaves[place.member.name] = seen
     seen.address, seen.version = address, max(seen.version, message.version)
     left_ms = leaseLeftMs(hedge, now)
@@ -66,6 +67,12 @@
                  sum(s.until_ms > now for s in sessions.leaves.values()), drained(sessions, message.draining, now))
 
 
+def forget(sessions, now):
+    """Leaves whose lease ended long ago."""
+    for name in [n for n, s in sessions.leaves.items() if s.until_ms + FORGET_MS < now]:
+        del sessions.leaves[name]
+
+
 def drained(sessions, told, now):
     """What any leaf's own list shows as leaving is told to all."""
     sessions.draining.update((runner, now + DRAIN_MS) for runner in told)
--- a/tests/test_canopy_ring.py
+++ b/tests/test_canopy_ring.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from frostpost.canopy import ring
+from frostpost.canopy import assembly, ring, serving
 from frostpost.canopy.settings import DaemonSettings
 from frostpost.furrow import disk as furrows
 from frostpost.hedgerow.events import Booted, Installed
@@ -90,3 +90,40 @@
         house.reactor.advance(0.05)
     hear(house, Renew(77, 0), "e1", "edge")
     assert stopped == [] and (out[-1][1].sent_ms, out[-1][1].lease_ms) == (77, 0)
+
+
+def test_sequencer_that_opens_greets_each_leaf_it_knows_once_a_configuration(monkeypatch):
+    house, out, _ = new_house(monkeypatch, (MEMORY,))
+    ring.start(house)
+    house.leaves.addresses = ("h:21",)
+    house.sessions.leaves["e2"] = serving.LeafSeen("@h:22", 1, 0, 0)
+    house.reactor.advance(0.1)
+    assert [to for to, body in out if isinstance(body, Directory)] == []
+    monkeypatch.setattr(serving, "sequencing", lambda ctx: True)
+    for _ in range(5):
+        house.reactor.advance(0.03)
+    greeted = [(to, [p.member.name for p in body.places]) for to, body in out if isinstance(body, Directory)]
+    assert greeted == [("@h:21", ["s1"]), ("@h:22", ["s1"])]
+
+
+def test_leaves_heard_of_late_are_kept_on_disk_and_old_ones_forgotten(monkeypatch):
+    house, _, _ = new_house(monkeypatch, (MEMORY,))
+    ring.start(house)
+    now = ring.nowMs(house.ctx)
+    house.sessions.leaves = {"e1": serving.LeafSeen("@h:21", 1, 0, now + 5000), "e2": serving.LeafSeen("@h:22", 1, 0, now)}
+    house.reactor.advance(1.1)
+    assert ring.peers.open_("/data", house.machine, "leaves").addresses == ("h:21",)
+    serving.forget(house.sessions, now + serving.FORGET_MS + 1)
+    assert list(house.sessions.leaves) == ["e1"]
+
+
+def test_settings_read_again_bring_new_seeds_to_a_running_storage_daemon(monkeypatch):
+    from types import SimpleNamespace
+
+    from expression import Ok
+    from msgspec import structs
+    house, _, _ = new_house(monkeypatch, (MEMORY,))
+    ring.start(house)
+    settings = structs.replace(house.settings, seeds=("h:9",))
+    assembly.reread(house, SimpleNamespace(reread=lambda: Ok(settings)))
+    assert house.ctx.core.hedge.seeds == ("@h:9", "@h:7", "@h:8")
