--- /dev/null
+++ b/tests/test_incidents.py
@@ -0,0 +1,86 @@
+"""What recorded days of the two sites brought to light; docs/incidents tells them."""
+import pytest
+
+from copse import stage as plays
+from copse import world as worlds
+from copse.crowd import MOST_TOKENS
+from frostpost.canopy import serving as sessions
+from frostpost.weather import net as nets
+from test_silo_serving import Net, hold
+
+CATCH_UP_MS = 4000
+REPAIR_MS = 200
+KERNEL_RETRY_S = 1.0
+
+
+def load(world, crowd, for_ms, per_s):
+    for number in range(for_ms * per_s // 1000):
+        world.later(number * 1000 / per_s, crowd.turn, f"z{number % 3}", f"p{number}", 20 * MOST_TOKENS, "")
+
+
+def sequenced(world):
+    return any(sessions.sequencing(d.owner.ctx) for d in world.of("storage")
+               if d.host.alive and d.owner is not None and d.owner.ctx.core is not None)
+
+
+def longest_gap_ms(world, for_ms):
+    """How long at most the ring had no sequencer, once it had one."""
+    had_ms, longest, until_ms = None, 0, world.now_ms() + for_ms
+    while world.now_ms() < until_ms:
+        world.run(world.now_ms() + 10)
+        if sequenced(world):
+            longest, had_ms = max(longest, world.now_ms() - (had_ms or world.now_ms())), world.now_ms()
+    assert had_ms is not None
+    return max(longest, until_ms - had_ms)
+
+
+def four_voters():
+    world, _, _, _ = plays.open_(5)
+    added = worlds.add(world, "storage-z1-2", "storage", "z1")
+    added.first = False
+    worlds.start(world, added)
+    world.run(world.now_ms() + 2000)
+    return world, added
+
+
+@pytest.mark.parametrize("cut_ms", [0, 1100, 3000])
+def test_an_empty_machine_that_returns_takes_the_ring_from_nobody(cut_ms):
+    world, added = four_voters()
+    load(world, plays.crowd_of(world, "c"), 9000, 20)
+    lost = world.daemons["storage-z0-1"]
+    worlds.wipe(world, lost)
+    world.run(world.now_ms() + 2500)
+    pair = {(added.host.address, lost.host.address)}
+    world.net.cuts |= pair if cut_ms else set()
+    worlds.start(world, lost)
+    world.later(cut_ms, world.net.cuts.difference_update, pair)
+    assert longest_gap_ms(world, 5000) < 200
+
+
+@pytest.mark.parametrize("late_ms", [100, 380, 700])
+def test_a_ring_that_is_up_again_after_a_loss_of_power_stays_up(monkeypatch, late_ms):
+    def again(connector):
+        wait_s = min(KERNEL_RETRY_S, connector.endS - connector.net.clock.seconds())
+        if wait_s <= 0:
+            return connector.fail(nets.TimeoutError())
+        return connector.net.clock.callLater(wait_s, connector.arrive)
+    world, _, _, _ = plays.open_(5)
+    load(world, plays.crowd_of(world, "c"), 9000, 20)
+    world.run(world.now_ms() + 2000)
+    monkeypatch.setattr(nets.Connector, "again", again)
+    rings = world.of("storage")
+    for daemon in rings:
+        worlds.kill(world, daemon, True)
+    world.run(world.now_ms() + 700)
+    for daemon, wait_ms in zip(reversed(rings), (0, late_ms * 2 // 3, late_ms)):
+        world.later(wait_ms, worlds.start, world, daemon)
+    world.run(world.now_ms() + late_ms)
+    assert longest_gap_ms(world, 4000) < 200
+
+
+def test_a_newcomer_is_whole_within_its_time_to_catch_up():
+    net, turns = Net(3), [f"t{n}" for n in range(4000)]
+    for peer in ("@s1:1", "@s2:1"):
+        hold(net, peer, turns)
+    net.repair("@s0:1", dict.fromkeys(turns), CATCH_UP_MS // REPAIR_MS)
+    assert net.houses["@s0:1"].silo.missing == 0
