Let turns wait at the leader for a slot, and requests for a lease and for the order

A trial with logs showed hundreds of NoCapacity refusals a second with engines half empty, and begins of 125 to 170 ms: each waiting turn asked again every 20 ms, an ordered operation each time, while slots stayed counted from the decided begin to the decided end. The slower the order, the more slots were counted and idle.

Change: - a begin without a slot waits at the leader, unordered, the most urgent first (admission_queue, operation_server); - the ledger is offered as many slots more as the order keeps counted but idle, measured by each agent (slot_overhead); - requests wait for a lease or for a decision for 0.4 of the time that they have left, then are refused at once (hold_policy, lease_waiters, order_calls); a daemon whose lease has been gone for two lease times holds nothing; - the answer of a turn that isn't retained ends without waiting for its EndAttempt: until then it counts at its most; - begins tell the service's real cache size, not the ledger's guess of 200,000 tokens; - agents tell a digest of the list of runners with their leases and read it when another one's newer reading differs; while nothing changes the fleet reads it at one joint rate, not each daemon every 0.8 of the drain bound; - what isn't served is logged with who decided it and what it waited for (decision_record).

Ruled out: an answer to greetings of the known leader (a test holds that it isn't needed; not measured). A queue in the replicated state: NoCapacity changes nothing, so it need not be ordered, and agents send again to a new leader.

The bytes of LeaseRequest, LeaseReply and BeginAttempt grew at their ends: recorded anew, and the earlier bytes are held to be read with defaults.

--- a/frostpost/cluster/agent.py
+++ b/frostpost/cluster/agent.py
@@ -19,7 +19,7 @@
 from frostpost.virtual_synchrony.endpoints import PROTOCOL_REVISION, Endpoint, Member
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
 
-from . import address_book, bootstrap, directory, lease_client, operation_client, status
+from . import address_book, bootstrap, directory, lease_client, lease_waiters, operation_client, status
 from .agent_context import AgentContext, now_ms
 
 RING = "storage"
@@ -63,6 +63,7 @@
         case LeaseReply():
             if lease_client.on_lease_reply(agent, endpoint, body):
                 operation_client.resend_all(agent)
+            lease_waiters.wake_lease_waiters(agent)
             turn_store_client.recount_holders(agent)
             if agent.ticker is not None:
                 agent.ticker.wake(lease_client.due_ms(agent) - now_ms(agent))
@@ -70,6 +71,7 @@
             operation_client.on_operation_reply(agent, body)
         case RoutingUpdate():
             lease_client.on_routing_update(agent, body)
+            lease_waiters.wake_lease_waiters(agent)
         case PutBodyReply() | GetBodiesReply():
             turn_store_client.on_reply(agent, endpoint.member.name, body)
         case BootstrapRequest():
--- a/frostpost/cluster/agent_context.py
+++ b/frostpost/cluster/agent_context.py
@@ -3,13 +3,15 @@
 from frostpost.daemon.context import TestHooks
 from frostpost.daemon.machine import MACHINE
 
+from .list_reading import RunnerListState
+
 
 class AgentContext:
     """All of an agent's mutable state: settings, links, session, routing, runners, caches, counters.
 
     Made by `agent.make_agent`; owned by the event loop's thread. Concerns keep their own part under a field of their
-    name: `session` is lease_client's, `operations` operation_client's, `putting` turn_store's, `pools` and `loads`
-    proxy's.
+    name: `session` is lease_client's, `lease_waiters` that module's, `operations` operation_client's, `putting`
+    turn_store's, `pools`, `loads` and `slot_overheads` proxy's.
     """
 
     __slots__ = (
@@ -43,6 +45,9 @@
         "extras",
         "ticker",
         "sent_directories",
+        "lease_waiters",
+        "slot_overheads",
+        "runner_list",
     )
 
     def __init__(self, settings, reactor, endpoint, machine=MACHINE):
@@ -52,6 +57,7 @@
         self.pools, self.loads, self.cache, self.putting, self.counts = {}, {}, None, {}, {}
         self.leaving, self.flights, self.calls, self.tasks = False, 0, 0, []
         self.hooks, self.operations, self.ticker, self.sent_directories = TestHooks(), None, None, {}
+        self.lease_waiters, self.slot_overheads, self.runner_list = [], {}, RunnerListState()
         self.life, self.front, self.lag_ms, self.parts, self.extras = None, None, 0.0, {}, {}
 
 
--- a/frostpost/cluster/agent_sessions.py
+++ b/frostpost/cluster/agent_sessions.py
@@ -1,16 +1,13 @@
 """The replicas' side of sessions with agents: leases, operations submitted, the routing."""
 
-from msgspec import DecodeError, Struct, msgpack
+from msgspec import Struct, field
 
 from frostpost.daemon.context import clock_ms
-from frostpost.daemon.event_loop import submit
-from frostpost.ledger.apply import decode_op
 from frostpost.virtual_synchrony.agent_messages import (
     DirectoryReply,
     DirectoryRequest,
     LeaseReply,
     LeaseRequest,
-    OperationReply,
     OperationRequest,
     RoutingRequest,
     RoutingUpdate,
@@ -18,11 +15,15 @@
 from frostpost.virtual_synchrony.leases import lease_remaining_ms
 from frostpost.virtual_synchrony.members import member_names, sequencer_of
 
-OPERATION_TIMEOUT_MS = 5000
+from . import list_reading
+from .admission_queue import AdmissionQueue
+from .leadership import is_sequencer
+from .list_reading import ListReading
+from .operation_server import on_operation_request
+
 ROUTING_GRACE_RATIO = 0.5
 DRAINING_RETENTION_MS = 15000
 SESSION_RETENTION_MS = 600000
-encode = msgpack.Encoder().encode
 
 
 class AgentSession(Struct):
@@ -45,6 +46,7 @@
 class AgentSessions(Struct):
     """version_ms: when the routing in force here became so. draining: runners, and until when that is told.
 
+    newest_list: the latest reading of the list of runners that any agent told of.
     survey: the last one taken; None once an agent told of another version or incarnation, or got a lease anew.
     """
 
@@ -54,12 +56,8 @@
     version_ms: int = 0
     draining: dict[str, int] = {}
     survey: Survey | None = None
-
-
-def is_sequencer(ctx):
-    """Whether this replica leads: it orders in an opened primary, with no recovery under way."""
-    synchrony = ctx.core.synchrony
-    return synchrony.primary.opened and not synchrony.recovery and sequencer_of(synchrony) == synchrony.name
+    newest_list: ListReading = ListReading()
+    admission: AdmissionQueue = field(default_factory=AdmissionQueue)
 
 
 def voters_of(ctx):
@@ -99,6 +97,8 @@
         )
     held = ctx.core.ledger.program_ledger.routing_version
     announce_routing(ctx, sessions)
+    told = list_reading.reading_from_message(message.list_digest, message.list_age_ms, now)
+    sessions.newest_list = list_reading.newer(sessions.newest_list, told)
     seen = note_agent(sessions, endpoint, message.version, now)
     if message.version > seen.version:
         seen.version, sessions.survey = message.version, None
@@ -121,6 +121,8 @@
         endpoints,
         survey_of(sessions, now).count,
         merge_draining(sessions, message.draining, now),
+        sessions.newest_list.digest,
+        list_reading.age_ms(sessions.newest_list, now),
     )
 
 
@@ -190,26 +192,3 @@
         case _:
             return False
     return True
-
-
-def on_operation_request(ctx, sessions, address, message):
-    """Submit an agent's operation once and reply with its result; one that is under way is not begun again."""
-    mark = (address, message.incarnation, message.number)
-    if mark in sessions.operations_in_progress:
-        return
-    try:
-        op = decode_op(message.payload)
-    except DecodeError:
-        ctx.links["send"](address, OperationReply(message.incarnation, message.number, b"", "Unreadable"))
-        return
-    sessions.operations_in_progress.add(mark)
-
-    def decided(result):
-        sessions.operations_in_progress.discard(mark)
-        if result.is_ok():
-            told = OperationReply(message.incarnation, message.number, encode(result.ok))
-        else:
-            told = OperationReply(message.incarnation, message.number, b"", type(result.error).__name__)
-        ctx.links["send"](address, told)
-
-    submit(ctx, op, OPERATION_TIMEOUT_MS).addCallback(decided)
--- /dev/null
+++ b/frostpost/cluster/leadership.py
@@ -0,0 +1,9 @@
+"""Whether a replica leads."""
+
+from frostpost.virtual_synchrony.members import sequencer_of
+
+
+def is_sequencer(ctx):
+    """Whether this replica leads: it orders in an opened primary, with no recovery under way."""
+    synchrony = ctx.core.synchrony
+    return synchrony.primary.opened and not synchrony.recovery and sequencer_of(synchrony) == synchrony.name
--- a/frostpost/cluster/lease_client.py
+++ b/frostpost/cluster/lease_client.py
@@ -5,6 +5,7 @@
 from frostpost.daemon.structured_log import log_event
 from frostpost.virtual_synchrony.agent_messages import DirectoryRequest, LeaseRequest, RoutingRequest
 
+from . import list_reading
 from .agent_context import count, now_ms
 
 RENEWALS_PER_LEASE = 5
@@ -15,7 +16,10 @@
 
 
 class Session(Struct):
-    """sequencer: name of the replica that granted last. until_ms: end of the lease, on this daemon's clock."""
+    """sequencer: name of the replica that granted last. until_ms: end of the lease, on this daemon's clock.
+
+    opened_ms: when this daemon began to look for its first lease.
+    """
 
     sequencer: str = ""
     until_ms: int = NEVER_MS
@@ -30,12 +34,13 @@
     honoured_version: int = 0
     routing_version: int = 0
     agent_count: int = 1
+    opened_ms: int = 0
 
 
 def session_of(agent):
     """The agent's session; made at first use."""
     if agent.session is None:
-        agent.session, agent.directory = Session(), {}
+        agent.session, agent.directory = Session(opened_ms=now_ms(agent)), {}
     return agent.session
 
 
@@ -76,8 +81,14 @@
 def lease_request(agent):
     """The request for a lease as of now."""
     session = session_of(agent)
+    listed, now = agent.runner_list, now_ms(agent)
     return LeaseRequest(
-        now_ms(agent), session.routing_version, session.epoch, tuple(agent.extras.get("list_draining", ()))
+        now,
+        session.routing_version,
+        session.epoch,
+        listed.draining,
+        listed.last.digest,
+        list_reading.age_ms(listed.last, now),
     )
 
 
@@ -173,8 +184,7 @@
     # What every running lease has honoured stays so: no later lease is granted on an older routing.
     session.honoured_version = max(session.honoured_version, grant.honoured)
     session.agent_count = max(1, grant.agent_count)
-    if grant.draining and "drained" in agent.extras:
-        agent.extras["drained"](grant.draining)
+    on_list_update(agent, grant)
     if grant.endpoints:
         introduce_agent(agent, grant.endpoints, session.sequencer)
         agent.directory = {p.member.name: p for p in grant.endpoints}
@@ -187,6 +197,15 @@
     return moved
 
 
+def on_list_update(agent, grant):
+    """Hand on what a lease tells of the list of runners, where this daemon reads it."""
+    listed = agent.runner_list
+    if grant.draining and listed.on_draining is not None:
+        listed.on_draining(grant.draining)
+    if listed.on_newest is not None:
+        listed.on_newest(list_reading.reading_from_message(grant.list_digest, grant.list_age_ms, now_ms(agent)))
+
+
 def on_routing_update(agent, message):
     """Take a newer routing in and tell the sequencer at once."""
     session = session_of(agent)
--- a/frostpost/cluster/replica_daemon.py
+++ b/frostpost/cluster/replica_daemon.py
@@ -26,7 +26,7 @@
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
 from frostpost.write_ahead_log import log as write_ahead_logs
 
-from . import address_book, agent_sessions, announcements, status, voter_reconfiguration
+from . import address_book, admission_queue, agent_sessions, announcements, status, voter_reconfiguration
 from .replica_context import ROLE, Crash, ReplicaContext, ring_settings
 
 LEAVE_S = 0.4
@@ -157,6 +157,7 @@
 def on_applied(replica):
     """An operation was applied: tell the agents of a new routing, and of an opening."""
     agent_sessions.announce_routing(replica.ctx, replica.sessions)
+    admission_queue.dispatch(replica.sessions.admission, replica.ctx.core.ledger.program_ledger)
     announcements.announce_opening(replica)
 
 
--- a/frostpost/cluster/status.py
+++ b/frostpost/cluster/status.py
@@ -12,6 +12,7 @@
 from . import agent_sessions
 from .agent_context import now_ms
 from .lease_client import session_of
+from .list_reading import NEVER_MS
 
 DAEMONS = ("storage", "core", "edge")
 
@@ -98,7 +99,7 @@
         "list": {
             "wanted": agent.settings.front is not None,
             "address": f"{agent.settings.list_host}:{agent.settings.list_port}" if agent.settings.list_host else "",
-            "fetched": bool(agent.extras.get("list_seen")),
+            "fetched": agent.runner_list.last.read_ms != NEVER_MS,
         },
     }
 
--- a/frostpost/platform/listing.py
+++ b/frostpost/platform/listing.py
@@ -110,6 +110,6 @@
             if runner.id not in found or runner.draining:
                 found[runner.id] = runner
         if token is None:
-            agent.extras["list_seen"], agent.extras["list_pages"] = True, page + 1
+            agent.runner_list.pages = page + 1
             return list(found.values())
     raise ListBrokenError(200)
--- a/frostpost/platform/readiness.py
+++ b/frostpost/platform/readiness.py
@@ -10,11 +10,12 @@
 def ready(agent):
     """Whether new connections may come: a lease, a configuration and a list are there, and it isn't draining."""
     from frostpost.cluster.lease_client import holds_lease
+    from frostpost.cluster.list_reading import NEVER_MS
 
     return (
         not agent.leaving
         and agent.routing is not None
-        and agent.extras.get("list_seen", False)
+        and agent.runner_list.last.read_ms != NEVER_MS
         and bool(holds_lease(agent))
     )
 
--- a/frostpost/program_ledger/placement.py
+++ b/frostpost/program_ledger/placement.py
@@ -38,6 +38,15 @@
     return best
 
 
+def free_slots(program_ledger, candidates):
+    """Return how many attempts more the candidates could take together."""
+    free = 0
+    for candidate in candidates:
+        use = program_ledger.runners.get(candidate.runner)
+        free += max(0, candidate.slots - (use.active if use else 0))
+    return free
+
+
 def held_tokens(use, parts):
     """Return how many tokens of the leading prompt parts a runner has read."""
     if use is None:
--- a/frostpost/program_ledger/turns.py
+++ b/frostpost/program_ledger/turns.py
@@ -6,7 +6,7 @@
 
 from heapq import heappush
 
-from .placement import leave, place
+from .placement import free_slots, leave, place
 from .state import Account, Attempt, Turn
 from .words import AttemptBegun, AttemptEnded, NoAttempt, NoCapacity, NoTurn, TokensSpent
 
@@ -14,6 +14,8 @@
 TOMB_MS = 60000
 CHAIN_SLACK_MS = 60000
 PLACED_SLACK_MS = 1000
+# The budget of a program that names none, in tokens.
+UNBOUNDED = 1 << 60
 
 
 def chain_of(program_ledger, turn):
@@ -33,6 +35,23 @@
     return NoAttempt(name) if chain is None else AttemptBegun(attempt.runner, chain)
 
 
+def lacks_only_a_slot(program_ledger, op):
+    """Whether `begin` would answer NoCapacity now, which changes nothing."""
+    name, turns = op.attempt, program_ledger.turns
+    if name in program_ledger.tombs or name in turns or name in program_ledger.attempts:
+        return False
+    if op.previous and op.previous not in turns:
+        return False
+    if is_spent(program_ledger.accounts.get(op.program), op.budget or UNBOUNDED):
+        return False
+    return not free_slots(program_ledger, op.candidates)
+
+
+def is_spent(account, budget):
+    """Whether a program's budget leaves no attempt."""
+    return account is not None and account.spent + account.reserved >= budget
+
+
 def begin(program_ledger, now_ms, op):
     """Reserve budget and a runner for an attempt; the same attempt again gets the same result."""
     if op.attempt in program_ledger.tombs or op.attempt in program_ledger.turns:
@@ -43,8 +62,8 @@
     if op.previous and op.previous not in program_ledger.turns:
         return refuse_attempt(program_ledger, now_ms, op.attempt, NoTurn(op.previous))
     account = program_ledger.accounts.get(op.program)
-    budget = op.budget or (1 << 60)
-    if account is not None and account.spent + account.reserved >= budget:
+    budget = op.budget or UNBOUNDED
+    if is_spent(account, budget):
         account.touched_ms = now_ms
         return refuse_attempt(program_ledger, now_ms, op.attempt, TokensSpent(budget, account.spent))
     runner = place(program_ledger, now_ms, op)
--- a/frostpost/program_ledger/words.py
+++ b/frostpost/program_ledger/words.py
@@ -15,7 +15,11 @@
 
 
 class BeginAttempt(Struct, array_like=True, frozen=True, tag="begin"):
-    """Reserve `amount` tokens of a program's budget and a runner for one attempt at a turn."""
+    """Reserve `amount` tokens of a program's budget and a runner for one attempt at a turn.
+
+    The last four fields are for the leader that it waits at while no candidate has a slot: the service it asks for,
+    the rank of its route (0 first), how long it may wait, and the time left to its program's deadline.
+    """
 
     attempt: str
     program: str
@@ -28,6 +32,10 @@
     line: str = ""
     prompt_tokens: int = 0
     cache_tokens: int = 0
+    pool: str = ""
+    rank: int = 0
+    hold_ms: int = 0
+    due_in_ms: int = 0
 
 
 class ReassignAttempt(Struct, array_like=True, frozen=True, tag="move"):
--- a/frostpost/proxy/keyed.py
+++ b/frostpost/proxy/keyed.py
@@ -16,7 +16,8 @@
 )
 
 from .failures import AtWork, BadRequest, Unavailable, Unknown
-from .lookup import hand_over, lasting_ms, retry_ms, settle
+from .lookup import hand_over, lasting_ms, settle
+from .order_calls import ORDER_RETRY_MS, call_until_decided
 from .outcomes import Answer
 
 DISCLAIM_MS = 300
@@ -33,11 +34,6 @@
     return Answer(*msgpack.decode(data, type=tuple[int, list[tuple[bytes, bytes]], bytes]))
 
 
-def ask_ms(agent, route, until_ms):
-    """How long a request waits for a verdict before it runs."""
-    return max(1, min(until_ms - now_ms(agent), max(200, route.aim_ms // 4)))
-
-
 @inlineCallbacks
 def keyed(agent, route, service, call, sink, until_ms, watch):
     """Serve an idempotent request."""
@@ -46,15 +42,14 @@
     key = f"{call.host}|{call.key}"
     window_ms = agent.settings.key_window_ms + WINDOW_TICKS * agent.settings.tick_ms
     claim = ClaimOperationKey(key, call.attempt, window_ms)
-    result = yield call_replicas(agent, claim, ask_ms(agent, route, until_ms))
-    verdict = result.ok if result.is_ok() else None
+    verdict = yield call_until_decided(agent, claim, max(1, until_ms - now_ms(agent)), call.delays)
     if isinstance(verdict, KeyInProgress):
         return hand_over(agent, AtWork(), sink)
     if isinstance(verdict, KeyAnswered):
         return hand_over(agent, unpack(verdict.answer), sink)
     if not isinstance(verdict, KeyClaimed):
         submit_until_decided(agent, ReleaseOperationKey(key, call.attempt))
-        return hand_over(agent, Unavailable(retry_ms(route), "claim"), sink)
+        return hand_over(agent, Unavailable(ORDER_RETRY_MS, "claim"), sink)
     outcome = yield settle(agent, route, service, call, until_ms, service.dedupes, None)
     if isinstance(outcome, Answer):
         outcome = yield resolve(agent, key, call, outcome, until_ms)
--- a/frostpost/proxy/lookup.py
+++ b/frostpost/proxy/lookup.py
@@ -7,6 +7,7 @@
 from . import picking
 from .attempts import attempts_for, may_offer, record
 from .failures import Overloaded, TimedOut, Unavailable, Unknown
+from .hold_policy import slot_hold_until_ms
 from .outcomes import Answer, ClientLeft, Late, NotRun, NotSent
 from .run import run_once
 
@@ -19,8 +20,8 @@
 
 
 def hold_until_ms(agent, route, until_ms):
-    """How long a request may wait for a place."""
-    return min(until_ms, now_ms(agent) + route.aim_ms // 4)
+    """Until when a request may wait for a slot."""
+    return slot_hold_until_ms(now_ms(agent), until_ms, route.aim_ms)
 
 
 def lasting_ms(agent, until_ms):
--- a/frostpost/proxy/picking.py
+++ b/frostpost/proxy/picking.py
@@ -9,6 +9,7 @@
 from frostpost.program_ledger.words import Candidate
 
 from .outcomes import Broken, Late, NotRun, NotSent
+from .slot_overhead import countable_slots, overhead_of
 
 FADE_MS = 1000
 REST_MS = 200
@@ -100,7 +101,10 @@
 
 def candidates(agent, service, tried=()):
     """What the ledger may choose from."""
-    return tuple(Candidate(r.id, slots_of(service, r)) for r in usable(agent, service, tried))
+    overhead = overhead_of(agent, service.name)
+    return tuple(
+        Candidate(r.id, countable_slots(overhead, slots_of(service, r))) for r in usable(agent, service, tried)
+    )
 
 
 def place(agent, route, service, tried, salt, until_ms):
--- a/frostpost/proxy/serve.py
+++ b/frostpost/proxy/serve.py
@@ -1,39 +1,67 @@
 """The way of one request: filters in order, then the way of its route's kind."""
 
+from msgspec import Struct
 from twisted.internet.defer import inlineCallbacks
 
 from frostpost.cluster.agent_context import count, now_ms
-from frostpost.cluster.lease_client import holds_lease
+from frostpost.cluster.lease_waiters import lease_gone_since_ms, may_serve, wait_for_lease
 
+from .decision_record import RequestObserver
 from .failures import BadRequest, Leaving, NoRoute, Overloaded, Unavailable
+from .hold_policy import lease_hold_until_ms
 from .keyed import keyed
 from .lookup import hand_over, lookup, retry_ms
+from .outcomes import ClientLeft
 from .routing import find_route, pick_service
 from .run import Watch
 from .stream import stream
+from .words import Route, Service
 
 RETRY_MS = 700
 WAYS = {"safe": lookup, "unsafe": lookup, "idempotent": keyed, "streaming": stream}
 
 
+class Admitted(Struct, frozen=True):
+    """A request that is taken. until_ms: when its answer has to be whole, on this daemon's clock."""
+
+    route: Route
+    service: Service
+    until_ms: int
+
+
+def takes_no_more(agent):
+    """Whether this daemon is leaving and has stopped taking requests."""
+    return agent.leaving and bool(agent.extras.get("last_call"))
+
+
+def route_of(agent, call):
+    """The route of a call in the routing that this daemon has, or None."""
+    return find_route(agent, call.host, call.uri.partition(b"?")[0].decode("latin-1"))
+
+
+def deadline_of(call, route):
+    """When the answer to a call has to be whole."""
+    return call.deadline_ms if route is None else min(call.deadline_ms, call.started_ms + route.timeout_ms)
+
+
 def admit(agent, call):
-    """(route, service, until_ms) of a call, or why it isn't taken."""
-    if agent.leaving and agent.extras.get("last_call"):
+    """-> Admitted, or the failure that says why the call isn't taken."""
+    if takes_no_more(agent):
         return Leaving()
-    if agent.routing is None or not holds_lease(agent):
+    if not may_serve(agent):
         return Unavailable(RETRY_MS, "lease")
     if not clean(call):
         return BadRequest("header")
-    route = find_route(agent, call.host, call.uri.partition(b"?")[0].decode("latin-1"))
+    route = route_of(agent, call)
     if route is None:
         return NoRoute()
     service = pick_service(agent.routing, route, call.attempt)
     if service is None or route.kind not in WAYS:
         return Unavailable(RETRY_MS, "service")
-    until_ms = min(call.deadline_ms, call.started_ms + route.timeout_ms)
+    until_ms = deadline_of(call, route)
     if until_ms <= now_ms(agent):
         return Overloaded(retry_ms(route))
-    return route, service, until_ms
+    return Admitted(route, service, until_ms)
 
 
 def clean(call):
@@ -44,16 +72,32 @@
     return not (b"\n" in head or b"\r" in head or b"\0" in head)
 
 
+@inlineCallbacks
+def hold_for_lease(agent, call):
+    """Wait until this daemon may serve, as long as the call may be held for that."""
+    now = now_ms(agent)
+    left_ms = deadline_of(call, route_of(agent, call)) - now
+    until_ms = lease_hold_until_ms(now, left_ms, lease_gone_since_ms(agent), agent.settings.lease_ms)
+    yield wait_for_lease(agent, until_ms)
+    call.delays.lease_ms = now_ms(agent) - now
+
+
 @inlineCallbacks
 def serve(agent, call, sink):
     """Serve a call; the Deferred fires once the sink has been told all."""
     count(agent, "requests")
-    admitted = admit(agent, call)
-    if not isinstance(admitted, tuple):
-        return hand_over(agent, admitted, sink)
-    route, service, until_ms = admitted
+    observer = RequestObserver(agent, call, sink)
+    sink = observer.observed_sink()
     agent.flights += 1
     try:
-        yield WAYS[route.kind](agent, route, service, call, sink, until_ms, Watch(sink))
+        watch = Watch(sink)
+        if not may_serve(agent) and not takes_no_more(agent):
+            yield hold_for_lease(agent, call)
+        admitted = ClientLeft() if watch.left else admit(agent, call)
+        if not isinstance(admitted, Admitted):
+            return hand_over(agent, admitted, sink)
+        route = admitted.route
+        observer.route = route.name
+        yield WAYS[route.kind](agent, route, admitted.service, call, sink, admitted.until_ms, watch)
     finally:
         agent.flights -= 1
--- a/frostpost/proxy/stream.py
+++ b/frostpost/proxy/stream.py
@@ -12,6 +12,7 @@
 from .lookup import answer, hold_until_ms, retry_ms
 from .outcomes import Answer, ClientLeft, Late, NotRun, NotSent, Whole
 from .run import run_once
+from .slot_overhead import observe_run, overhead_of
 
 PROMISES = (402, 404)
 
@@ -118,7 +119,10 @@
         if state.watch.left:
             return ClientLeft()
         tried.append(runner.id)
+        sent_ms = now_ms(agent)
         outcome = yield run_once(agent, runner, call, body, until_ms, state.watch, state.head, state.heard)
+        if isinstance(outcome, Whole):
+            observe_run(overhead_of(agent, service.name), now_ms(agent) - sent_ms)
         record(attempts, outcome)
         if isinstance(outcome, NotSent):
             if outcome.why in ("left", "late"):
@@ -167,7 +171,7 @@
         lasts = True
         if ordered:
             data = b"".join([call.body, *(part + b"\n" for part in state.data)]) if state.keeps else b""
-            lasts = yield turn.close(agent, route, call, tokens, data, until_ms)
+            lasts = yield turn.close(agent, route, service, call, tokens, data, until_ms)
         count(agent, "streams" if lasts else "streams_unkept")
         return sink.end() if lasts else sink.cut()
     if ordered and state.maybe:
--- a/frostpost/proxy/turn.py
+++ b/frostpost/proxy/turn.py
@@ -21,9 +21,11 @@
 
 from . import picking
 from .failures import BudgetSpent, Overloaded, Unavailable, UnknownTurn
+from .hold_policy import begin_hold_ms
 from .lookup import hold_until_ms, lasting_ms, retry_ms
+from .order_calls import ORDER_RETRY_MS, call_until_decided
+from .slot_overhead import observe_order, overhead_of
 
-LEAST_ASK_MS = 200
 PAUSE_MS = 20
 KEEP_TICKS = 10
 
@@ -48,9 +50,12 @@
 
 
 @inlineCallbacks
-def decide(agent, route, service, tried, operation, until_ms):
-    """The verdict, asked for again while no candidate has room; an Unavailable when there is none."""
-    hold_ms = hold_until_ms(agent, route, until_ms)
+def decide(agent, route, service, call, tried, operation, until_ms, waits_at_leader=False):
+    """The verdict, asked for again while no candidate has room; an Unavailable when there is none.
+
+    waits_at_leader: what lacks a slot has waited there before its NoCapacity, so it isn't asked for again.
+    """
+    hold_ms = None
     while True:
         left_ms = until_ms - now_ms(agent)
         offered = picking.candidates(agent, service, tried)
@@ -58,17 +63,24 @@
         if left_ms <= 0:
             return verdict
         if offered:
-            wait_ms = max(1, min(left_ms, max(LEAST_ASK_MS, route.aim_ms // 4)))
-            result = yield call_replicas(agent, operation(offered, left_ms), wait_ms)
-            if not result.is_ok():
-                return Unavailable(retry_ms(route), "order")
-            verdict = result.ok
-        if not isinstance(verdict, NoCapacity):
+            verdict = yield call_until_decided(agent, operation(offered, left_ms), left_ms, call.delays)
+        if isinstance(verdict, Unavailable):
+            return Unavailable(ORDER_RETRY_MS, "order")
+        if not isinstance(verdict, NoCapacity) or offered and waits_at_leader:
             return verdict
+        # The wait for a slot begins with the first refusal, not with the wait for the order before it.
+        hold_ms = hold_until_ms(agent, route, until_ms) if hold_ms is None else hold_ms
         wait_ms = max(1, min(verdict.wait_ms, PAUSE_MS))
         if now_ms(agent) + wait_ms >= hold_ms:
             return verdict
         yield pause(agent, wait_ms)
+        call.delays.slot_ms = call.delays.slot_ms + wait_ms
+
+
+def due_in_ms(agent, call):
+    """How long it is until a call's program should be over, or the call where it belongs to none."""
+    total_ms = call.program_left_ms or call.deadline_ms - call.started_ms
+    return total_ms - (now_ms(agent) - call.started_ms)
 
 
 @inlineCallbacks
@@ -87,9 +99,14 @@
             parts=call.parts,
             line=call.line,
             prompt_tokens=call.prompt_tokens,
+            cache_tokens=service.cache_tokens,
+            pool=service.name,
+            rank=route.rank,
+            hold_ms=begin_hold_ms(left_ms),
+            due_in_ms=due_in_ms(agent, call),
         )
 
-    verdict = yield decide(agent, route, service, (), operation, until_ms)
+    verdict = yield decide(agent, route, service, call, (), operation, until_ms, waits_at_leader=True)
     if isinstance(verdict, TokensSpent):
         return BudgetSpent()
     if isinstance(verdict, NoTurn):
@@ -117,7 +134,7 @@
     def operation(offered, _left_ms):
         return ReassignAttempt(call.attempt, offered, len(tried))
 
-    verdict = yield decide(agent, route, service, tried, operation, until_ms)
+    verdict = yield decide(agent, route, service, call, tried, operation, until_ms)
     if isinstance(verdict, AttemptBegun) and verdict.runner not in tried:
         return verdict.runner
     return verdict if isinstance(verdict, Unavailable) else Overloaded(retry_ms(route))
@@ -133,25 +150,48 @@
     submit_until_decided(agent, EndAttempt(call.attempt, tokens, keep_ms=0))
 
 
+def time_order(agent, service, answer):
+    """Measure how long the end of an attempt takes to be decided. -> the same Deferred"""
+    from_ms = now_ms(agent)
+
+    def decided(result):
+        if result.is_ok():
+            observe_order(overhead_of(agent, service.name), now_ms(agent) - from_ms)
+        return result
+
+    return answer.addCallback(decided)
+
+
+def close(agent, route, service, call, tokens, data, until_ms):
+    """-> True, or a Deferred of whether the turn lasts; the client's answer may end once that is true.
+
+    Nothing may follow a turn that isn't retained, so its answer need not wait for the ledger: until its end is decided
+    the attempt stays counted at its most, which is at least what was put out.
+    """
+    if not route.retained:
+        time_order(agent, service, submit_until_decided(agent, EndAttempt(call.attempt, tokens)))
+        return True
+    return close_retained(agent, route, service, call, tokens, data, until_ms)
+
+
 @inlineCallbacks
-def close(agent, route, call, tokens, data, until_ms):
+def close_retained(agent, route, service, call, tokens, data, until_ms):
     """True once the turn lasts: its end decided, and its body on disks of a majority of the voters of a running lease.
 
     The voters are looked at last: a body that was put while the end was being decided may have been put on voters that
     others took the place of meanwhile.
     """
     wait_ms = lasting_ms(agent, until_ms)
-    keep_ms = route.keep_ms + KEEP_TICKS * agent.settings.tick_ms if route.retained else 0
-    end = EndAttempt(call.attempt, tokens, keep_ms=keep_ms, size=len(data) if keep_ms else 0)
-    asked = [call_replicas(agent, end, wait_ms)]
-    if keep_ms:
-        asked.append(put(agent, call.attempt, data, wait_ms))
-    results = yield gatherResults(asked)
-    lasts = all(result.is_ok() for result in results)
-    if not (results[0].is_ok() and isinstance(results[0].ok, AttemptEnded)):
+    keep_ms = route.keep_ms + KEEP_TICKS * agent.settings.tick_ms
+    end = EndAttempt(call.attempt, tokens, keep_ms=keep_ms, size=len(data))
+    ended, stored = yield gatherResults(
+        [time_order(agent, service, call_replicas(agent, end, wait_ms)), put(agent, call.attempt, data, wait_ms)]
+    )
+    lasts = ended.is_ok() and stored.is_ok()
+    if not (ended.is_ok() and isinstance(ended.ok, AttemptEnded)):
         lasts = False
-        submit_until_decided(agent, end if not keep_ms or results[1].is_ok() else EndAttempt(call.attempt, tokens))
-    if lasts and keep_ms and not bodies_last(agent, results[1].ok.holders):
+        submit_until_decided(agent, end if stored.is_ok() else EndAttempt(call.attempt, tokens))
+    if lasts and not bodies_last(agent, stored.ok.holders):
         again = yield put(agent, call.attempt, data, lasting_ms(agent, until_ms))
         lasts = again.is_ok()
     return lasts
--- a/frostpost/proxy/words.py
+++ b/frostpost/proxy/words.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 
 class Route(Struct, frozen=True):
@@ -67,8 +67,16 @@
     draining: bool = False
 
 
+class Delays(Struct):
+    """How long a request waited, in milliseconds, for what it lacked: a lease, a decision of the order, a slot."""
+
+    lease_ms: int = 0
+    order_ms: int = 0
+    slot_ms: int = 0
+
+
 class Call(Struct):
-    """One try of a client. uri: path and query as sent; headers: those to pass on, in order."""
+    """One try of a client. uri: path and query as sent; headers: those to pass on, in order; delays: so far."""
 
     attempt: str
     method: bytes
@@ -88,6 +96,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     program_left_ms: int = 0
     last_event: str = ""
+    delays: Delays = field(default_factory=Delays)
 
 
 class RunnerHead(Struct, frozen=True):
--- a/frostpost/virtual_synchrony/agent_messages.py
+++ b/frostpost/virtual_synchrony/agent_messages.py
@@ -24,13 +24,16 @@
     """An agent asks for its lease and tells which routing it honours.
 
     sent_ms: on the agent's clock. version: of the routing. epoch: of the replicas' configuration whose endpoints it
-    knows. draining: runners that the platform's list shows it as draining.
+    knows. draining: runners that the platform's list shows it as draining. list_digest, list_age_ms: of the list of
+    runners as it read it last, and how long ago; -1 where it has read none.
     """
 
     sent_ms: int
     version: int
     epoch: int = 0
     draining: tuple[str, ...] = ()
+    list_digest: int = 0
+    list_age_ms: int = -1
 
 
 class LeaseReply(Struct, frozen=True, array_like=True, tag=25):
@@ -38,7 +41,7 @@
 
     lease_ms: from `sent_ms` on the agent's clock, 0 if none may be granted. version: of the routing in force; honoured:
     the newest that every agent with a running lease honours. leaves: how many agents hold a lease. draining: runners
-    that any agent told of.
+    that any agent told of. list_digest, list_age_ms: of the newest list of runners that any agent told of.
     """
 
     sent_ms: int
@@ -51,6 +54,8 @@
     endpoints: tuple[Endpoint, ...] = ()
     agent_count: int = 0
     draining: tuple[str, ...] = ()
+    list_digest: int = 0
+    list_age_ms: int = -1
 
 
 class OperationRequest(Struct, frozen=True, array_like=True, tag=26):
--- a/tests/test_encoded_messages.py
+++ b/tests/test_encoded_messages.py
@@ -5,6 +5,7 @@
 from msgspec import msgpack
 
 RECORDED = encoded_messages.recorded()
+EARLIER = encoded_messages.recorded(encoded_messages.EARLIER)
 
 
 def test_every_kind_is_recorded_and_encoded_alike():
@@ -15,3 +16,14 @@
 def test_recorded_bytes_are_decoded_and_encoded_again_alike(name):
     raw = bytes.fromhex(RECORDED[name])
     assert msgpack.encode(encoded_messages.decoder_of(name).decode(raw)) == raw
+
+
+@pytest.mark.parametrize("name", EARLIER)
+def test_messages_of_the_build_before_fields_were_added_are_read_with_their_defaults(name):
+    raw = bytes.fromhex(EARLIER[name])
+    message = encoded_messages.decoder_of(name).decode(raw)
+    before = msgpack.decode(raw)
+    after = msgpack.decode(msgpack.encode(message))
+    added = message.__struct_fields__[len(before) - 1 :]
+    assert after[: len(before)] == before and added
+    assert [getattr(message, field) for field in added] == list(message.__struct_defaults__[-len(added) :])
--- /dev/null
+++ b/tests/test_proxy_slot_overhead.py
@@ -0,0 +1,49 @@
+"""How many attempts the ledger may count at a runner, by what was measured."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from test_proxy_stage import HEAD, Stage, a_route, a_runner, chunk
+
+from frostpost.program_ledger.words import BeginAttempt, Candidate
+from frostpost.proxy.slot_overhead import SlotOverhead, countable_slots, observe_order, observe_run, overhead_of
+
+TIMES = st.floats(0, 1e5)
+
+
+def test_nothing_is_added_before_anything_was_measured():
+    assert countable_slots(SlotOverhead(order_ms=50), 8) == 8
+
+
+def test_slots_that_wait_for_the_order_are_made_up_for():
+    assert countable_slots(SlotOverhead(order_ms=20, run_ms=120), 8) == 8 + 2
+
+
+@given(TIMES, TIMES, st.integers(1, 100))
+def test_never_less_than_the_slots_nor_more_than_twice_as_many(order_ms, run_ms, slots):
+    assert slots <= countable_slots(SlotOverhead(order_ms, run_ms), slots) <= 2 * slots
+
+
+@given(st.lists(st.floats(0, 1000), min_size=1))
+def test_averages_stay_within_what_was_measured(values):
+    overhead = SlotOverhead()
+    for value in values:
+        observe_run(overhead, value)
+        observe_order(overhead, value)
+    low, high = max(1, min(values)), max(1, max(values))
+    assert low - 1e-6 <= overhead.run_ms <= high + 1e-6 and overhead.run_ms == overhead.order_ms
+
+
+def test_a_stream_is_measured_and_the_ledger_offered_slots_by_it(monkeypatch):
+    s = Stage([a_route(kind="streaming")], [a_runner("r1", slots=8)], monkeypatch)
+    s.serve(program="g", budget=9, most_tokens=5)
+    wire = s.connect()
+    s.reactor.advance(0.1)
+    wire.dataReceived(HEAD + chunk(b"id: 1\ndata: a\n\n") + b"0\r\n\r\n")
+    overhead = overhead_of(s.agent, "s")
+    assert overhead.run_ms == 100 and overhead.order_ms == 1
+    overhead.order_ms = 50
+    s.serve(attempt="a2", program="g", budget=9, most_tokens=5)
+    assert [op.candidates for op in s.asked if isinstance(op, BeginAttempt)] == [
+        (Candidate("r1", 8),),
+        (Candidate("r1", 14),),
+    ]
