Bound a wait for the lease that ends at once; remove the scale run

Cause: under the planted error lease_ignored one check says that the lease is there and another that it isn't, and call_until_decided asked again without end; a test of the suite hung on it. Change: a wait that took no time isn't followed by another try.

--- a/frostpost/command.py
+++ b/frostpost/command.py
@@ -9,7 +9,7 @@
 from frostpost.admin.arguments import Admin, Doctor
 from frostpost.app.arguments import Serve
 from frostpost.simulator.arguments import Simulate
-from frostpost.testbed.arguments import Fleet, Proof, Scale
+from frostpost.testbed.arguments import Fleet, Proof
 
 # What runs each subcommand; imported only when it is asked for, since some install an event loop.
 RUNNERS = {
@@ -19,7 +19,6 @@
     Fleet: ("frostpost.testbed.proving", "run_fleet"),
     Proof: ("frostpost.testbed.proving", "proofs"),
     Simulate: ("frostpost.simulator.sweep", "simulate"),
-    Scale: ("frostpost.testbed.scale", "scale"),
 }
 
 
@@ -27,7 +26,7 @@
 class Frostpost(Struct):
     """Arguments of the command: one of its subcommands."""
 
-    command: cappa.Subcommands[Serve | Admin | Doctor | Fleet | Proof | Simulate | Scale]
+    command: cappa.Subcommands[Serve | Admin | Doctor | Fleet | Proof | Simulate]
 
 
 def main(words=None):
--- a/frostpost/proxy/order_calls.py
+++ b/frostpost/proxy/order_calls.py
@@ -31,5 +31,6 @@
         returned = result.error.why == "lease" and decided_ms < until_ms and (yield wait_for_lease(agent, until_ms))
         from_ms = now_ms(agent)
         delays.lease_ms += from_ms - decided_ms
-        if not returned:
+        # A wait that took no time would be followed by the same refusal, again and again.
+        if not returned or from_ms == decided_ms:
             return result.error
--- a/frostpost/testbed/__init__.py
+++ b/frostpost/testbed/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-in callers, runners and platform; local fleets; proofs judged from outside; scale runs."""
+"""Stand-in callers, runners and platform; local fleets; proofs judged from outside."""
--- a/frostpost/testbed/arguments.py
+++ b/frostpost/testbed/arguments.py
@@ -1,4 +1,4 @@
-"""Arguments of `fleet`, `proof` and `scale`."""
+"""Arguments of `fleet` and `proof`."""
 
 from typing import Annotated
 
@@ -26,32 +26,3 @@
     seed: Annotated[int, cappa.Arg(long=True, help="seed of load and stand-ins")] = 1
     before: Annotated[str, cappa.Arg(long=True, help="upgrade: folder that holds the version before")] = ""
     keep: Annotated[str, cappa.Arg(long=True, help="keep the fleets' folders below this one")] = ""
-
-
-@cappa.command(name="run", help="Run three storage daemons and many leaves without HTTP, and print what they cost.")
-class ScaleRun(Struct):
-    """Arguments of scale run."""
-
-    leaves: Annotated[int, cappa.Arg(long=True, help="how many leaves")] = 16
-    rate: Annotated[float, cappa.Arg(long=True, help="ordered operations a second, all leaves together")] = 0.0
-    seconds: Annotated[float, cappa.Arg(long=True, help="how long to measure")] = 5.0
-    warm: Annotated[float, cappa.Arg(long=True, help="seconds of load before the measured ones")] = 1.5
-    body: Annotated[int, cappa.Arg(long=True, help="bytes of a turn's body")] = 2000
-    candidates: Annotated[int, cappa.Arg(long=True, help="runners that each Begin names")] = 32
-    routing: Annotated[int, cappa.Arg(long=True, help="bytes of the routing set at the end")] = 16000
-    port: Annotated[int, cappa.Arg(long=True, help="port of all daemons; 0: one by the process id")] = 0
-
-
-@cappa.command(name="state", help="Print what the replicated state costs in memory, bytes and time, by its size.")
-class ScaleState(Struct):
-    """Arguments of scale state."""
-
-    programs: Annotated[int, cappa.Arg(long=True, help="how many programs")] = 2000
-    turns: Annotated[int, cappa.Arg(long=True, help="turns of each program")] = 67
-
-
-@cappa.command(name="scale", help="Measure what a deployment costs at a size.")
-class Scale(Struct):
-    """Arguments of scale: one of its subcommands."""
-
-    command: cappa.Subcommands[ScaleRun | ScaleState]
--- a/tests/fleet_simulator/plants.py
+++ b/tests/fleet_simulator/plants.py
@@ -3,7 +3,7 @@
 from msgspec import structs
 from twisted.internet.defer import succeed
 
-from frostpost.cluster import agent_sessions, control_client, lease_client, voter_reconfiguration
+from frostpost.cluster import agent_sessions, control_client, lease_client, operation_server, voter_reconfiguration
 from frostpost.platform import control, front, listing, routing
 from frostpost.platform.server import reply
 from frostpost.program_ledger import accepted_changes, routing_versions, turns
@@ -206,12 +206,12 @@
     kept = agent_sessions.on_operation_request
 
     def asked(ctx, sessions, address, message):
-        op = agent_sessions.decode_op(message.payload)
+        op = operation_server.decode_op(message.payload)
         if not isinstance(op, ReadRouting):
             return kept(ctx, sessions, address, message)
         verdict = routing_versions.look_routing(ctx.core.ledger.program_ledger, 0, op)
         return ctx.links["send"](
-            address, OperationReply(message.incarnation, message.number, agent_sessions.encode(verdict))
+            address, OperationReply(message.incarnation, message.number, operation_server.encode(verdict))
         )
 
     return [(agent_sessions, "on_operation_request", asked)]
--- a/tests/test_proxy_waiting.py
+++ b/tests/test_proxy_waiting.py
@@ -207,3 +207,11 @@
 @pytest.mark.parametrize("left", [-5, 0])
 def test_what_has_no_time_left_is_not_held(left):
     assert hold_policy.order_hold_ms(left) == 0
+
+
+def test_a_lease_that_is_there_and_refused_all_the_same_is_not_asked_about_for_ever(monkeypatch):
+    s = stage(monkeypatch)
+    asked = calls(monkeypatch, *[Error(failures.Unavailable(1, "lease"))] * 2)
+    found = []
+    order_calls.call_until_decided(s.agent, ClaimOperationKey("k", "a", 9), 1000, Delays()).addCallback(found.append)
+    assert found == [failures.Unavailable(1, "lease")] and len(asked) == 1
