--- a/tests/test_fleet_simulator_days.py
+++ b/tests/test_fleet_simulator_days.py
@@ -25,6 +25,11 @@
     clean(play(21, kinds=[], storm_ms=3000, closing=closing)[1])
 
 
+@pytest.mark.parametrize("seed", [22, 23, 24, 25])
+def test_what_was_acknowledged_outlasts_lost_disks_while_all_others_lose_power(seed):
+    clean(play(seed, kinds=[], storm_ms=2000, closing="wipe")[1])
+
+
 def test_planned_work_cuts_no_request_off():
     clean(play(31, kinds=PLANNED, storm_ms=12000, closing="none", odds={})[1])
 
