Split documents and responses of the platform by their jobs

The response to a client is client_response.py, documented now; validation of documents is document_validation.py, changes by name are document_changes.py.

--- a/frostpost/platform/control.py
+++ b/frostpost/platform/control.py
@@ -12,19 +12,16 @@
 from msgspec import Struct, json
 from twisted.internet.defer import inlineCallbacks
 
-from frostpost.cluster.agent_context import now_ms
-from frostpost.cluster.lease_client import holds_lease
 from frostpost.daemon.structured_log import log_event
 from frostpost.proxy.failures import Unavailable
 from frostpost.proxy.models import ClientBounds
 
-from . import header_names, routing
+from . import document_changes, header_names, routing
+from .call_deadlines import call_deadlines, remaining_ms
+from .document_validation import MAX_ISSUE
 from .server import Server, reply
+from .strict_json import RoutingInvalid, parse_json
 
-# A caller tries another daemon after this time without a response; a large body extends it.
-CALLER_TIMEOUT_MS, UPLOAD_BYTES_PER_MS = 1000, 1000
-# Parts of the caller's timeout: for an operation, for an operation without a lease, and for the whole response.
-OPERATION_RATIO, UNLEASED_OPERATION_RATIO, RESPONSE_RATIO = 0.5, 0.2, 0.8
 RETRY_MS, MAX_CONNECTIONS = 100, 128
 CLIENT_BOUNDS = ClientBounds(body_bytes=64 << 20)
 JSON_HEADER = (b"Content-Type", b"application/json")
@@ -44,13 +41,6 @@
     build: object
 
 
-class Deadlines(Struct):
-    """Until when a call may wait for the result of its operation, and for its response."""
-
-    operation_ms: int
-    response_ms: int
-
-
 class VersionConflict(Struct, frozen=True, tag="RoutingMoved"):
     """The change is based on a version that is not the current one."""
 
@@ -69,19 +59,6 @@
     return import_module("frostpost.cluster.control_client")
 
 
-def call_deadlines(agent, body_bytes=0):
-    """Return the Deadlines of a call that has just arrived."""
-    current_ms = now_ms(agent)
-    ratio = OPERATION_RATIO if holds_lease(agent) else UNLEASED_OPERATION_RATIO
-    response_ms = int(CALLER_TIMEOUT_MS * RESPONSE_RATIO) + body_bytes // UPLOAD_BYTES_PER_MS
-    return Deadlines(current_ms + int(CALLER_TIMEOUT_MS * ratio), current_ms + response_ms)
-
-
-def remaining_ms(agent, deadline_ms):
-    """Return the milliseconds until a deadline, at least 0."""
-    return max(0, deadline_ms - now_ms(agent))
-
-
 def reply_error(request, status, error):
     """Send an error as JSON with the given status."""
     reply(request, status, json.encode(error), [JSON_HEADER])
@@ -96,27 +73,27 @@
 def base_version(request):
     """Return the version that a change is based on, or None if the header is missing or not a number."""
     value = (request.getHeader(header_names.BASE_REVISION) or b"").strip()
-    return int(value) if value.isascii() and value.isdigit() and len(value) <= len(str(routing.MAX_ISSUE)) else None
+    return int(value) if value.isascii() and value.isdigit() and len(value) <= len(str(MAX_ISSUE)) else None
 
 
 def parse_routing_change(request, kind):
     """Parse a request without regard to the current version. Returns Result[RoutingChange, RoutingInvalid]."""
     base = base_version(request)
     if base is None:
-        return Error(routing.RoutingInvalid("X-Base-Revision", "is missing or no number"))
+        return Error(RoutingInvalid("X-Base-Revision", "is missing or no number"))
     if kind == "replace":
         return routing.parse_document(request.body).map(
             lambda parsed: RoutingChange(
                 parsed[0]["issue"], base, routing.request_digest(kind, parsed[0]), lambda _: Ok(parsed)
             )
         )
-    return routing.parse_change(request.body).map(
+    return document_changes.parse_change(request.body).map(
         lambda change: RoutingChange(
             change["issue"],
             base,
             routing.request_digest(f"{kind} {base}", change),
-            lambda current: routing.parse_json(current).bind(
-                lambda document: routing.validate(routing.apply_change(document, change))
+            lambda current: parse_json(current).bind(
+                lambda document: routing.validate(document_changes.apply_change(document, change))
             ),
         )
     )
@@ -130,7 +107,7 @@
     if change.base != current.version:
         return Error(ErrorResponse(412, VersionConflict(current.version)))
     if change.issue <= current.version:
-        return Error(ErrorResponse(400, routing.RoutingInvalid("issue", "is not above the current one")))
+        return Error(ErrorResponse(400, RoutingInvalid("issue", "is not above the current one")))
     built = change.build(routing.document_from_body(current.body))
     return built.map(lambda parsed: routing.encode_body(parsed[0])).map_error(lambda error: ErrorResponse(400, error))
 
--- /dev/null
+++ b/frostpost/platform/document_validation.py
@@ -0,0 +1,63 @@
+"""Validation of configuration documents: their schema, and the errors that it doesn't cover."""
+
+from cerberus import Validator
+from expression import Error, Ok
+
+from .strict_json import RoutingInvalid
+
+MAX_ISSUE = (1 << 63) - 1
+DOCUMENT_VALIDATOR = Validator(
+    {
+        "issue": {"type": "integer", "required": True, "min": 1, "max": MAX_ISSUE},
+        "route-table": {"type": "list", "required": True},
+        "service-table": {"type": "list", "required": True},
+        "limits": {"type": "dict", "nullable": True},
+    },
+    allow_unknown=True,
+)
+
+
+def validate_schema(validator, document):
+    """Validate a decoded document against a schema. Returns Result[document, RoutingInvalid]."""
+    if validator.validate(document, normalize=False):
+        return Ok(document)
+    name, messages = next(iter(validator.errors.items()))
+    return Error(RoutingInvalid(str(name), str(messages[0])[:200]))
+
+
+def route_weights(item):
+    """Return the (service, weight) pairs of a route; weights are integers."""
+    if item.distribution is None:
+        return () if item.target is None else ((item.target, 1),)
+    scale = 1 if all(share.share == int(share.share) for share in item.distribution) else 1000
+    return tuple((share.target, round(share.share * scale)) for share in item.distribution)
+
+
+def first_duplicate(values):
+    """Return the first value that is repeated, or None."""
+    seen = set()
+    return next((value for value in values if value in seen or seen.add(value)), None)
+
+
+def document_errors(document):
+    """Yield the semantic errors of a document that matches the schema."""
+    routes, services = document.route_table, document.service_table
+    service_names = {service.name for service in services}
+    for name, values in (
+        ("route-table", [route_item.name for route_item in routes]),
+        ("service-table", [service_item.name for service_item in services]),
+    ):
+        if first_duplicate(values) is not None:
+            yield RoutingInvalid(name, "two items have the same name")
+    if first_duplicate((route.host.lower(), route.path_prefix) for route in routes) is not None:
+        yield RoutingInvalid("route-table", "two routes have the same host and prefix")
+    for route in routes:
+        weights = route_weights(route)
+        if not route.guard_ms > 0:
+            yield RoutingInvalid(route.name, "guard-ms must be above 0")
+        if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+            yield RoutingInvalid(route.name, "path-prefix must begin and end with a slash")
+        if any(weight < 0 for _, weight in weights) or not sum(weight for _, weight in weights):
+            yield RoutingInvalid(route.name, "the weights add up to nothing")
+        if any(service not in service_names for service, _ in weights):
+            yield RoutingInvalid(route.name, "names an unknown service")
--- a/tests/fleet_simulator/plants.py
+++ b/tests/fleet_simulator/plants.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import succeed
 
 from frostpost.cluster import agent_sessions, control_client, lease_client, operation_server, voter_reconfiguration
-from frostpost.platform import control, front, routing, runner_list
+from frostpost.platform import client_response, control, routing, runner_list
 from frostpost.platform.server import reply
 from frostpost.program_ledger import accepted_changes, routing_versions, turns
 from frostpost.program_ledger import apply as ledger
@@ -77,7 +77,7 @@
 
 
 def promise_broken():
-    return [(front, "STATUS_BY_FAILURE", {**front.STATUS_BY_FAILURE, Unknown: 503, TimedOut: 503})]
+    return [(client_response, "STATUS_BY_FAILURE", {**client_response.STATUS_BY_FAILURE, Unknown: 503, TimedOut: 503})]
 
 
 def echo_unread():
@@ -85,7 +85,7 @@
 
 
 def cut_ended():
-    return [(front.ClientResponse, "abort", lambda answer: answer.end())]
+    return [(client_response.ClientResponse, "abort", lambda answer: answer.end())]
 
 
 def resumed_always():
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -9,7 +9,7 @@
 
 from frostpost.cluster.agent_context import AgentContext
 from frostpost.daemon.machine import Machine
-from frostpost.platform import control, routing
+from frostpost.platform import call_deadlines, control, routing
 from frostpost.program_ledger import accepted_changes
 from frostpost.program_ledger.apply import apply_operation
 from frostpost.program_ledger.messages import ReadRouting, RoutingConflict, RoutingForgotten, RoutingSet, SetRouting
@@ -217,7 +217,7 @@
     current_config()
     assert (
         len(client.wait_times_ms) == 3
-        and max(client.wait_times_ms) <= control.CALLER_TIMEOUT_MS * control.RESPONSE_RATIO
+        and max(client.wait_times_ms) <= call_deadlines.CALLER_TIMEOUT_MS * call_deadlines.RESPONSE_RATIO
     )
 
 
--- a/tests/test_platform_control_cuts.py
+++ b/tests/test_platform_control_cuts.py
@@ -10,7 +10,7 @@
 from fleet_simulator.plants import planted
 
 from frostpost.cluster.lease_client import holds_lease
-from frostpost.platform.control import CALLER_TIMEOUT_MS, RESPONSE_RATIO
+from frostpost.platform.call_deadlines import CALLER_TIMEOUT_MS, RESPONSE_RATIO
 
 CUT_MS = 20000
 MAX_RESPONSE_MS = CALLER_TIMEOUT_MS * (RESPONSE_RATIO + 0.1)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -6,7 +6,7 @@
 
 from frostpost.cluster.agent_context import AgentContext
 from frostpost.daemon.machine import Machine
-from frostpost.platform import front
+from frostpost.platform import client_response, front
 from frostpost.proxy import failures
 from frostpost.proxy.models import ClientBounds, Routing
 
@@ -135,7 +135,7 @@
     assert (
         harness.take_response().endswith(b"2\r\nab\r\n") and harness.transport.disconnecting and sink.is_disconnected()
     )
-    harness.clock.advance(front.ABORT_DELAY_S)
+    harness.clock.advance(client_response.ABORT_DELAY_S)
     assert harness.transport.aborted
 
 
--- a/tests/test_platform_routing.py
+++ b/tests/test_platform_routing.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from frostpost.platform import routing
+from frostpost.platform import document_changes, routing
 
 ROUTE = {
     "name": "r1",
@@ -160,7 +160,7 @@
 
 def test_change_replaces_adds_and_removes_by_name():
     original = copy.deepcopy(DOCUMENT)
-    change = routing.parse_change(
+    change = document_changes.parse_change(
         json.dumps(
             {
                 "issue": 9,
@@ -169,7 +169,7 @@
             }
         ).encode()
     ).ok
-    merged = routing.apply_change(DOCUMENT, change)
+    merged = document_changes.apply_change(DOCUMENT, change)
     assert original == DOCUMENT
     assert [(route["name"], route["guard-ms"]) for route in merged["route-table"]] == [("r1", 1), ("r3", 4000)]
     assert (merged["issue"], merged["odd"], merged["service-table"]) == (9, {"kept": 1.5}, DOCUMENT["service-table"])
@@ -177,7 +177,9 @@
 
 
 def test_change_may_set_bounds_and_its_result_is_validated():
-    merged = routing.apply_change(DOCUMENT, {"issue": 8, "limits": {"idle-ms": 5}, "remove": {"service-table": ["s2"]}})
+    merged = document_changes.apply_change(
+        DOCUMENT, {"issue": 8, "limits": {"idle-ms": 5}, "remove": {"service-table": ["s2"]}}
+    )
     assert merged["limits"] == {"idle-ms": 5}
     assert routing.validate(merged).is_error()
 
@@ -194,7 +196,7 @@
     ],
 )
 def test_invalid_changes_are_rejected(change):
-    assert isinstance(routing.parse_change(json.dumps(change).encode()).error, routing.RoutingInvalid)
+    assert isinstance(document_changes.parse_change(json.dumps(change).encode()).error, routing.RoutingInvalid)
 
 
 def test_stored_body_round_trips():
