Fleet simulator: a runner records the header lines and refusals of requests

A test that judges what a runner is shown needs the header lines as received, repeated ones too, and which requests a runner refused.

--- a/tests/fleet_simulator/http.py
+++ b/tests/fleet_simulator/http.py
@@ -12,6 +12,7 @@
     fields: dict[bytes, bytes]
     body: bytearray
     whole: bool = False
+    lines: list[tuple[bytes, bytes]] = []
 
 
 class Reader:
@@ -47,13 +48,14 @@
         start, *lines = head.split(b"\r\n")
         if self.answers and not start.startswith(b"HTTP/1."):
             raise InvalidMessageError(start[:40])
-        fields = {}
+        fields, pairs = {}, []
         for line in lines:
             name, found, value = line.partition(b":")
             if not found:
                 raise InvalidMessageError(line[:40])
             fields[name.strip().lower()] = value.strip()
-        self.message = Message(start, fields, bytearray())
+            pairs.append((name, value.strip()))
+        self.message = Message(start, fields, bytearray(), lines=pairs)
         if fields.get(b"transfer-encoding") == b"chunked":
             self.state = "size"
         elif b"content-length" in fields:
--- a/tests/fleet_simulator/jobs.py
+++ b/tests/fleet_simulator/jobs.py
@@ -54,6 +54,7 @@
 
     def reject(self, status):
         start_line, fields = self.response_head(status, executed=False)
+        self.runner.notes.refusals.append((self.field(b"x-attempt-id"), self.runner.id))
         self.over = True
         self.send(write(start_line, [*fields, (b"Content-Length", b"0")]))
         self.finish(fields)
@@ -91,6 +92,7 @@
             self.field(b"x-previous-turn"),
             self.field(b"last-event-id"),
             self.came_ms,
+            headers=self.message.lines,
         )
         runner.notes.runs.append(self.run)
         if self.fields.get(b"x-token-count"):
--- a/tests/fleet_simulator/notes.py
+++ b/tests/fleet_simulator/notes.py
@@ -46,7 +46,8 @@
 class Run(Struct):
     """The execution of a request by a runner.
 
-    pieces: data of the events produced; done: the complete response was sent; broke: the runner aborted it.
+    pieces: data of the events produced; done: the complete response was sent; broke: the runner aborted it; headers:
+    the header lines of the request as received, in order.
     """
 
     try_id: str
@@ -69,6 +70,7 @@
     done: bool = False
     over: bool = False
     broke: bool = False
+    headers: list[tuple[bytes, bytes]] = []
 
 
 class Version(Struct):
@@ -125,13 +127,15 @@
 class Notes:
     """Everything recorded in one simulated day.
 
-    sheet: the deployment's time limits in ms, by name; shown: (at_ms, runner id, state) for each change of the list.
+    sheet: the deployment's time limits in ms, by name; shown: (at_ms, runner id, state) for each change of the list;
+    refusals: (try id, runner id) for each request that a runner refused without executing it.
     """
 
     def __init__(self, sheet):
         self.sheet, self.tries, self.runs, self.versions, self.troubles = sheet, [], [], [], []
         self.shown, self.strays, self.away, self.held, self.marks, self.lives = [], [], [], None, [], []
         self.list_troubles, self.tap, self.control_calls = [], lambda request: None, []
+        self.refusals = []
         self.isolations, self.acknowledged_by, self.on_acknowledged = [], "", lambda control: None
 
     def end_isolations(self, now_ms):
--- a/tests/fleet_simulator/operator.py
+++ b/tests/fleet_simulator/operator.py
@@ -110,9 +110,9 @@
         return status
 
     @inlineCallbacks
-    def found(self):
+    def found(self, document=None):
         """Send the first configuration until it is accepted."""
-        document = first_document()
+        document = document or first_document()
         version = Version(3, 0, paths_of(document), document, self.now_ms())
         status = yield self.change(version, "Replace", document, 1e12)
         return status
--- a/tests/fleet_simulator/stage.py
+++ b/tests/fleet_simulator/stage.py
@@ -76,7 +76,7 @@
     )
 
 
-def open_(seed, shape=None, prepare=None, wait_ms=15000):
+def open_(seed, shape=None, prepare=None, wait_ms=15000, document=None):
     """Bootstrap a deployment and apply the first configuration. Returns (world, operators, status, elapsed ms)."""
     world = worlds.make(seed, shape)
     if prepare:
@@ -84,7 +84,7 @@
     for daemon in list(world.daemons.values()):
         world.later(world.random.uniform(0, 400), worlds.start, world, daemon)
     operators = [operator_of(world, "a"), operator_of(world, "b")]
-    bootstrapped = operators[0].found()
+    bootstrapped = operators[0].found(document)
     status = await_(world, bootstrapped, wait_ms)
     elapsed_ms = settle(world, wait_ms)
     for daemon in world.daemons.values():
