Test of oddly written subscriber lines: a folded line no longer alters the key itself

The third case folded its line into Authorization, which made the key another one, so that 401 is right there. It is folded into a line of its own now; the statuses and the check of what the runner got are as before.

--- a/tests/test_tenant_requests.py
+++ b/tests/test_tenant_requests.py
@@ -72,7 +72,8 @@
 
 
 @pytest.mark.parametrize(
-    "line", [b"X-Subscriber : tenant-b", b"X-Other: a\r\n X-Subscriber: tenant-b", b"\tX-Subscriber: b"]
+    "line",
+    [b"X-Subscriber : tenant-b", b"X-Other: a\r\n X-Subscriber: tenant-b", b"X-Other: a\r\n\tX-Subscriber: tenant-b"],
 )
 def test_oddly_written_subscriber_line_does_not_reach_a_runner(deployment, line):
     request = deployment.request(ROUTE_PATHS["unsafe"])
