Failing test: a turn whose key moves while it runs stays its tenant's; keys are in no log line

Callers saw a turn continued by the tenant to which its key moved while the turn ran: status 200, with the other tenant's history.

--- a/tests/test_tenant_isolation.py
+++ b/tests/test_tenant_isolation.py
@@ -1,8 +1,11 @@
 """Ids that two tenants share name two things: turns, attempts, operation keys and programs are a tenant's own."""
 
 import pytest
+from fleet_simulator import world as worlds
 from fleet_simulator.runners import EVENT_TOKENS
-from tenant_deployment import ROUTE_PATHS, TenantDeployment, transcript
+from tenant_deployment import ROUTE_PATHS, TenantDeployment, subscriber, transcript
+
+from frostpost.daemon import structured_log
 
 TURN, KEYED = ROUTE_PATHS["turn"], ROUTE_PATHS["idempotent"]
 
@@ -104,3 +107,32 @@
     ]
     bodies = [served_body(deployment, deployment.finish(request)) for request in requests]
     assert bodies == [b"of a;", b"of b;"]
+
+
+def test_turn_that_was_open_while_its_key_moved_stays_its_tenants(deployment):
+    for runner in deployment.world.runners.values():
+        runner.pace_ms = 400.0
+    open_turn = deployment.begin(TURN, "key-a1", body=b"of a;")
+    deployment.run_for(50)
+    moved = [subscriber("tenant-a", ["key-a2"]), subscriber("tenant-b", ["key-b1", "key-a1"])]
+    assert open_turn.ended_ms < 0 and deployment.modify(upsert={"subscribers": moved}) == 200
+    deployment.finish(open_turn)
+    follower = deployment.send(TURN, "key-a2", body=b"next;", previous=open_turn.try_id)
+    assert served_body(deployment, follower) == transcript(open_turn) + b"next;"
+    stranger = deployment.send(TURN, "key-a1", body=b"of b;", previous=open_turn.try_id)
+    assert (stranger.status, deployment.runs(stranger)) == (404, [])
+
+
+@pytest.mark.parametrize("kind", sorted(ROUTE_PATHS))
+def test_key_is_in_no_log_line(monkeypatch, kind):
+    lines, document_of = [], worlds.document_of
+    monkeypatch.setattr(structured_log.logging, "info", lambda form, *values: lines.append(form % values))
+    monkeypatch.setattr(worlds, "document_of", lambda *args: {**document_of(*args), "frostpost-trace": True})
+    deployment = TenantDeployment()
+    for runner in deployment.world.runners.values():
+        runner.odds = {"shed": 0.3, "lose": 0.2, "noise": 0.2}
+    for key in ("key-a1", "key-unknown"):
+        for _ in range(8):
+            deployment.send(ROUTE_PATHS[kind], key)
+    assert any('"trace"' in line for line in lines) and any("request_not_served" in line for line in lines)
+    assert [line for line in lines if "key-" in line] == []
