Admit requests on behalf of the tenant that holds their credential

What the software didn't interpret it let through: subscribers and keyless were kept unread, Authorization and X-Subscriber were forwarded like any header, and the ledger's names were the client's ids.

Change: the document's subscribers are validated and become the routing's tenants, by digest of the credential. Admission looks the tenant up in the same routing that gives the route; without one the request is refused (401) unless the route is keyless. The credential and the client's tenant header end at the edge, always; the tenant's name is set instead. Attempts, turns, programs and operation keys are named by tenant and id, separated by a line feed, which no header can hold. Urgency goes by the tenant's rank, then the route's.

Why it works: a routing is acknowledged only once every daemon with a lease honours it, and a daemon without a lease serves nobody; the tenants now travel and take effect with it.

--- a/frostpost/platform/client_response.py
+++ b/frostpost/platform/client_response.py
@@ -15,6 +15,7 @@
 STATUS_BY_FAILURE = {
     failures.NoRoute: 404,
     failures.BadRequest: 400,
+    failures.InvalidCredential: 401,
     failures.UnknownTurn: 404,
     failures.BudgetSpent: 402,
     failures.AtWork: 409,
@@ -178,6 +179,8 @@
         self.cancel_flush()
         self.unregister_producer()
         headers, retry_ms = [(b"Content-Type", b"application/json")], retry_after_ms(failure)
+        if isinstance(failure, failures.InvalidCredential):
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         if retry_ms is not None:
             headers.append((b"Retry-After", b"%g" % (retry_ms / 1000)))
         close = self.agent.draining or isinstance(failure, failures.Leaving)
--- a/frostpost/platform/document_validation.py
+++ b/frostpost/platform/document_validation.py
@@ -12,6 +12,7 @@
         "route-table": {"type": "list", "required": True},
         "service-table": {"type": "list", "required": True},
         "limits": {"type": "dict", "nullable": True},
+        "subscribers": {"type": "list"},
     },
     allow_unknown=True,
 )
@@ -46,11 +47,14 @@
     for name, values in (
         ("route-table", [route_item.name for route_item in routes]),
         ("service-table", [service_item.name for service_item in services]),
+        ("subscribers", [subscriber.name for subscriber in document.subscribers or ()]),
     ):
         if first_duplicate(values) is not None:
             yield RoutingInvalid(name, "two items have the same name")
     if first_duplicate((route.host.lower(), route.path_prefix) for route in routes) is not None:
         yield RoutingInvalid("route-table", "two routes have the same host and prefix")
+    if first_duplicate(credential for item in document.subscribers or () for credential in set(item.credentials)):
+        yield RoutingInvalid("subscribers", "two subscribers have the same credential")
     for route in routes:
         weights = route_weights(route)
         if not route.guard_ms > 0:
--- a/frostpost/platform/documents.py
+++ b/frostpost/platform/documents.py
@@ -27,6 +27,7 @@
     retention_s: float | None = None
     resumable: bool | None = None
     gap_target_ms: float | None = None
+    keyless: bool = False
 
 
 class Engine(Struct, rename="kebab"):
@@ -46,6 +47,14 @@
     engine: Engine | None = None
 
 
+class SubscriberItem(Struct, rename="kebab"):
+    """A tenant as written in the document; its list of credentials may be empty."""
+
+    name: str
+    credentials: list[str]
+    precedence: int | None = None
+
+
 class BoundsItem(Struct, rename="kebab"):
     """Bounds on client requests: bytes of header and body, milliseconds for the header and for idle connections."""
 
@@ -62,3 +71,4 @@
     route_table: list[RouteItem] = field(default_factory=list)
     service_table: list[ServiceItem] = field(default_factory=list)
     limits: BoundsItem | None = None
+    subscribers: list[SubscriberItem] | None = None
--- a/frostpost/platform/header_names.py
+++ b/frostpost/platform/header_names.py
@@ -11,6 +11,7 @@
 PROGRAM_ID, SESSION_ID, PROGRAM_DEADLINE = b"x-program-id", b"x-session-id", b"x-program-deadline"
 TOKEN_BUDGET, TOKEN_COUNT, PROMPT_PREFIX = b"x-token-budget", b"x-token-count", b"x-prompt-prefix"
 BASE_REVISION = b"x-base-revision"
+AUTHORIZATION, SUBSCRIBER = b"authorization", b"x-subscriber"
 
 HOP_BY_HOP = frozenset(
     (
@@ -37,6 +38,7 @@
         TOKEN_BUDGET,
         TOKEN_COUNT,
         PROMPT_PREFIX,
+        AUTHORIZATION,
         b"host",
     )
 )
--- a/frostpost/platform/request_parser.py
+++ b/frostpost/platform/request_parser.py
@@ -2,13 +2,20 @@
 
 from expression import Error, Ok
 
+from frostpost.proxy.credentials import credential_digest
 from frostpost.proxy.failures import BadRequest
 from frostpost.proxy.models import Call
 
 from . import header_names
 
 DEFAULT_TIME_REMAINING_MS = 30000
-EXCLUDED_HEADERS = header_names.HOP_BY_HOP | {b"host", b"expect"}
+BEARER_SCHEME = b"bearer"
+EXCLUDED_HEADERS = header_names.HOP_BY_HOP | {
+    b"host",
+    b"expect",
+    header_names.AUTHORIZATION,
+    header_names.SUBSCRIBER,
+}
 INVALID_HEADER = BadRequest("a header field is not as it should be")
 
 
@@ -44,6 +51,13 @@
     return fields[name].decode("latin-1") if name in fields else ""
 
 
+def parse_credential(fields):
+    """Return the digest of the bearer credential, or an empty string if there is none."""
+    scheme, _, credential = fields.get(header_names.AUTHORIZATION, b"").partition(b" ")
+    credential = credential.strip(b" \t")
+    return credential_digest(credential) if scheme.lower() == BEARER_SCHEME and credential else ""
+
+
 def parse_prompt_parts(value):
     """Parse the prompt prefix header into (part, token count) pairs, in order."""
     items = (item.strip().rpartition(":") for item in value.split(",") if item.strip())
@@ -81,6 +95,7 @@
                 prompt_parts=parse_prompt_parts(text_field(fields, header_names.PROMPT_PREFIX)),
                 program_remaining_ms=integer_field(fields, header_names.PROGRAM_DEADLINE),
                 last_event_id=text_field(fields, header_names.LAST_EVENT_ID),
+                credential=parse_credential(fields),
             )
         )
     except (ValueError, OverflowError):
--- a/frostpost/platform/routing.py
+++ b/frostpost/platform/routing.py
@@ -7,13 +7,15 @@
 from expression import Error, Ok
 from msgspec import Raw, Struct
 
-from frostpost.proxy.models import ClientBounds, Route, Routing, Service
+from frostpost.proxy.credentials import credential_digest
+from frostpost.proxy.models import ClientBounds, Route, Routing, Service, Tenant
 
 from .document_validation import DOCUMENT_VALIDATOR, document_errors, route_weights, validate_schema
 from .documents import BoundsItem, Document, Engine
 from .strict_json import RoutingInvalid, parse_json
 
 ROUTE_CLASSES = ("safe", "unsafe", "idempotent", "streaming")
+MAX_RANK = (1 << 16) - 1
 DIGEST_BYTES = 16
 EMPTY_DOCUMENT = b'{"issue":0,"route-table":[],"service-table":[]}'
 
@@ -29,6 +31,11 @@
     return default if value is None else max(1, round(value)) if value > 0 else 0
 
 
+def build_rank(precedence):
+    """Convert a precedence into a rank from 0, the highest, to MAX_RANK."""
+    return min(max(precedence or 0, 0), MAX_RANK)
+
+
 def build_route(item):
     """Convert a route of the document into a Route."""
     timeout_ms = to_milliseconds(item.guard_ms)
@@ -39,13 +46,14 @@
         kind=item.route_class if item.route_class in ROUTE_CLASSES else "unsafe",
         timeout_ms=timeout_ms,
         target_latency_ms=to_milliseconds(item.target_latency_ms, timeout_ms),
-        rank=item.precedence or 0,
+        rank=build_rank(item.precedence),
         weights=route_weights(item),
         attempts=max(1, item.max_attempts or 1),
         retained=bool(item.retained),
         retention_ms=to_milliseconds((item.retention_s or 0) * 1000),
         resumable=bool(item.resumable),
         max_event_gap_ms=to_milliseconds(item.gap_target_ms),
+        is_keyless=item.keyless,
     )
 
 
@@ -62,6 +70,17 @@
     )
 
 
+def build_tenants(subscribers):
+    """Return the tenants by digest of their credentials, or None if the document has no subscribers."""
+    if subscribers is None:
+        return None
+    return {
+        credential_digest(credential.encode()): Tenant(item.name, build_rank(item.precedence))
+        for item in subscribers
+        for credential in item.credentials
+    }
+
+
 def build_bounds(item):
     """Convert the document's bounds on clients into ClientBounds."""
     item, default = item or BoundsItem(), ClientBounds()
@@ -80,6 +99,7 @@
         routes=tuple(map(build_route, document.route_table)),
         services={item.name: build_service(item) for item in document.service_table},
         bounds=build_bounds(document.limits),
+        tenants=build_tenants(document.subscribers),
     )
 
 
--- a/frostpost/platform/runner_protocol.py
+++ b/frostpost/platform/runner_protocol.py
@@ -4,22 +4,28 @@
 
 from .header_names import (
     ATTEMPT_ID,
+    AUTHORIZATION,
     HOP_BY_HOP,
     INSTANCE_ID,
     INSTANCE_LOAD,
     LAST_EVENT_ID,
     NOT_EXECUTED,
     SERVER_SEAL,
+    SUBSCRIBER,
     TARGET_INSTANCE,
     TIME_REMAINING,
     connection_options,
 )
 
-REPLACED_HEADERS = frozenset((TIME_REMAINING, TARGET_INSTANCE))
+REPLACED_HEADERS = frozenset((TIME_REMAINING, TARGET_INSTANCE, AUTHORIZATION, SUBSCRIBER))
 
 
 def request_headers(call, runner, remaining_ms):
-    """Return the headers of a call with the time remaining, the runner's id and, if resumed, the last event id."""
+    """Return the headers of a request to a runner.
+
+    Those of the client's request, with the time remaining, the runner's id, the tenant and, if the stream is resumed,
+    the id of its last event.
+    """
     resumed = bool(call.last_event_id)
     headers = [
         (name, value)
@@ -28,6 +34,8 @@
     ]
     headers.append((b"X-Time-Remaining", b"%d" % max(0, int(remaining_ms))))
     headers.append((b"X-Target-Instance", runner.id.encode("latin-1")))
+    if call.tenant:
+        headers.append((b"X-Subscriber", call.tenant.encode("utf-8")))
     if resumed:
         headers.append((b"Last-Event-Id", call.last_event_id.encode("latin-1")))
     return headers
--- a/frostpost/proxy/decision_record.py
+++ b/frostpost/proxy/decision_record.py
@@ -5,10 +5,10 @@
 from frostpost.cluster.agent_context import count, now_ms
 from frostpost.daemon.structured_log import log_event
 
-from .failures import AtWork, BadRequest, BudgetSpent, NoRoute
+from .failures import AtWork, BadRequest, BudgetSpent, InvalidCredential, NoRoute
 
 # Refusals caused by the request itself: counted, but not logged.
-CLIENT_REFUSALS = (AtWork, BadRequest, BudgetSpent, NoRoute)
+CLIENT_REFUSALS = (AtWork, BadRequest, BudgetSpent, InvalidCredential, NoRoute)
 
 
 class DecisionRecord(Struct, frozen=True):
--- a/frostpost/proxy/failures.py
+++ b/frostpost/proxy/failures.py
@@ -12,6 +12,12 @@
     not_executed = True
 
 
+class InvalidCredential(Struct, frozen=True, tag="InvalidCredential"):
+    """The route requires a credential, and the request has none that the configuration knows."""
+
+    not_executed = True
+
+
 class BadRequest(Struct, frozen=True, tag="BadRequest"):
     """The request is malformed or ambiguous."""
 
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -9,7 +9,10 @@
 
 
 class Route(Struct, frozen=True):
-    """A route. kind: safe, unsafe, idempotent or streaming. weights: (service, weight) pairs. rank: 0 first."""
+    """A route. kind: safe, unsafe, idempotent or streaming. weights: (service, weight) pairs. rank: 0 first.
+
+    is_keyless: whether requests need no credential.
+    """
 
     name: str
     host: str
@@ -24,6 +27,7 @@
     retention_ms: int = 0
     resumable: bool = False
     max_event_gap_ms: int = 0
+    is_keyless: bool = False
 
 
 class Service(Struct, frozen=True):
@@ -37,6 +41,13 @@
     cache_tokens: int = 0
 
 
+class Tenant(Struct, frozen=True):
+    """A tenant. rank: 0 first, compared before the rank of the route."""
+
+    name: str
+    rank: int = 0
+
+
 class ClientBounds(Struct, frozen=True):
     """Size and time limits for client requests."""
 
@@ -47,12 +58,16 @@
 
 
 class Routing(Struct, frozen=True):
-    """One version of the routing configuration."""
+    """One version of the routing configuration.
+
+    tenants: by digest of their credentials; None if requests need no credential.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     bounds: ClientBounds = ClientBounds()
+    tenants: dict[str, Tenant] | None = None
 
 
 class Runner(Struct, frozen=True):
@@ -67,6 +82,14 @@
     draining: bool = False
 
 
+def scoped_id(tenant, client_id):
+    """Return a client's id qualified by its tenant, so that equal ids of two tenants differ.
+
+    Ids come from header values, which contain no line feed; without a tenant the id is returned unchanged.
+    """
+    return f"{tenant}\n{client_id}" if tenant else client_id
+
+
 class Delays(Struct):
     """Time that a request has spent waiting for a lease, a ledger decision and a runner slot."""
 
@@ -76,7 +99,11 @@
 
 
 class Call(Struct):
-    """A client request. uri: path and query as received. headers: those to forward, in order."""
+    """A client request. uri: path and query as received. headers: those to forward, in order.
+
+    credential: digest of the client's credential, empty if there is none. tenant: name of the tenant that holds it, set
+    on admission.
+    """
 
     attempt: str
     method: bytes
@@ -96,8 +123,30 @@
     prompt_parts: tuple[tuple[str, int], ...] = ()
     program_remaining_ms: int = 0
     last_event_id: str = ""
+    credential: str = ""
+    tenant: str = ""
     delays: Delays = field(default_factory=Delays)
 
+    @property
+    def ledger_attempt(self):
+        """The attempt id by which the ledger and the turn store know this request."""
+        return scoped_id(self.tenant, self.attempt)
+
+    @property
+    def ledger_program(self):
+        """The program id by which the ledger keeps this request's budget."""
+        return scoped_id(self.tenant, self.program or self.attempt)
+
+    @property
+    def ledger_previous_turn(self):
+        """The ledger's id of the turn that this request follows, empty if there is none."""
+        return scoped_id(self.tenant, self.previous_turn) if self.previous_turn else ""
+
+    @property
+    def ledger_key(self):
+        """The operation key by which the ledger records this request's answer."""
+        return scoped_id(self.tenant, f"{self.host}|{self.key}")
+
 
 class RunnerHead(Struct, frozen=True):
     """A response head. headers: those to forward, in order. load: running and waiting requests, and slots."""
--- a/frostpost/proxy/serve.py
+++ b/frostpost/proxy/serve.py
@@ -6,11 +6,12 @@
 from frostpost.cluster.agent_context import count, now_ms
 from frostpost.cluster.lease_waiters import lease_lost_at_ms, may_serve, wait_for_lease
 
+from .credentials import authenticate, ranked_for
 from .decision_record import RequestObserver
 from .failures import BadRequest, Leaving, NoRoute, Overloaded, Unavailable
 from .forwarding import deliver, retry_ms, serve_unordered
 from .idempotency import serve_idempotent
-from .models import Route, Service
+from .models import Route, Service, Tenant
 from .outcomes import ClientLeft
 from .routing import find_route, pick_service
 from .runner_request import ClientWatcher
@@ -29,6 +30,7 @@
 class Admitted(Struct, frozen=True):
     """An admitted request. until_ms: deadline for the complete response, on this daemon's clock."""
 
+    tenant: Tenant
     route: Route
     service: Service
     until_ms: int
@@ -60,13 +62,16 @@
     route = route_of(agent, call)
     if route is None:
         return NoRoute()
+    tenant = authenticate(agent.routing, route, call)
+    if not isinstance(tenant, Tenant):
+        return tenant
     service = pick_service(agent.routing, route, call.attempt)
     if service is None or route.kind not in HANDLERS:
         return Unavailable(UNAVAILABLE_RETRY_MS, "service")
     until_ms = deadline_of(call, route)
     if until_ms <= now_ms(agent):
         return Overloaded(retry_ms(route))
-    return Admitted(route, service, until_ms)
+    return Admitted(tenant, ranked_for(tenant, route), service, until_ms)
 
 
 def is_unambiguous(call):
@@ -101,7 +106,7 @@
         admitted = ClientLeft() if watcher.disconnected else admit(agent, call)
         if not isinstance(admitted, Admitted):
             return deliver(agent, admitted, sink)
-        route = admitted.route
+        route, call.tenant = admitted.route, admitted.tenant.name
         observer.route = route.name
         yield HANDLERS[route.kind](agent, route, admitted.service, call, sink, admitted.until_ms, watcher)
     finally:
--- a/frostpost/proxy/turn.py
+++ b/frostpost/proxy/turn.py
@@ -92,11 +92,11 @@
 
     def operation(offered, remaining_ms):
         return BeginAttempt(
-            attempt=call.attempt,
-            program=call.program or call.attempt,
+            attempt=call.ledger_attempt,
+            program=call.ledger_program,
             budget=call.budget,
             amount=call.max_output_tokens,
-            previous=call.previous_turn,
+            previous=call.ledger_previous_turn,
             remaining_ms=remaining_ms,
             candidates=offered,
             parts=call.prompt_parts,
@@ -138,7 +138,7 @@
     """
 
     def operation(offered, _remaining_ms):
-        return ReassignAttempt(call.attempt, offered, len(tried))
+        return ReassignAttempt(call.ledger_attempt, offered, len(tried))
 
     result = yield request_slot(agent, route, service, call, tried, operation, until_ms)
     if isinstance(result, AttemptBegun) and result.runner not in tried:
@@ -148,12 +148,12 @@
 
 def abort_attempt(agent, call):
     """Abort an attempt that no runner executed."""
-    submit_until_decided(agent, AbortAttempt(call.attempt))
+    submit_until_decided(agent, AbortAttempt(call.ledger_attempt))
 
 
 def end_interrupted(agent, call, tokens):
     """End an attempt without a complete response, after `tokens` output tokens."""
-    submit_until_decided(agent, EndAttempt(call.attempt, tokens, retention_ms=0))
+    submit_until_decided(agent, EndAttempt(call.ledger_attempt, tokens, retention_ms=0))
 
 
 def measure_decision_time(agent, service, answer):
@@ -176,7 +176,7 @@
     is charged with its maximum number of tokens.
     """
     if not route.retained:
-        measure_decision_time(agent, service, submit_until_decided(agent, EndAttempt(call.attempt, tokens)))
+        measure_decision_time(agent, service, submit_until_decided(agent, EndAttempt(call.ledger_attempt, tokens)))
         return True
     return end_retained_attempt(agent, route, service, call, tokens, data, until_ms)
 
@@ -191,18 +191,18 @@
     """
     wait_ms = record_wait_ms(agent, until_ms)
     retention_ms = route.retention_ms + RETENTION_MARGIN_TICKS * agent.settings.tick_ms
-    end_operation = EndAttempt(call.attempt, tokens, retention_ms=retention_ms, size=len(data))
+    end_operation = EndAttempt(call.ledger_attempt, tokens, retention_ms=retention_ms, size=len(data))
     ended, stored = yield gatherResults(
         [
             measure_decision_time(agent, service, call_replicas(agent, end_operation, wait_ms)),
-            put(agent, call.attempt, data, wait_ms),
+            put(agent, call.ledger_attempt, data, wait_ms),
         ]
     )
     durable = ended.is_ok() and stored.is_ok()
     if not (ended.is_ok() and isinstance(ended.ok, AttemptEnded)):
         durable = False
-        submit_until_decided(agent, end_operation if stored.is_ok() else EndAttempt(call.attempt, tokens))
+        submit_until_decided(agent, end_operation if stored.is_ok() else EndAttempt(call.ledger_attempt, tokens))
     if durable and not is_durable_at(agent, stored.ok.holders):
-        stored_again = yield put(agent, call.attempt, data, record_wait_ms(agent, until_ms))
+        stored_again = yield put(agent, call.ledger_attempt, data, record_wait_ms(agent, until_ms))
         durable = stored_again.is_ok()
     return durable
--- a/tests/tenant_deployment.py
+++ b/tests/fleet_simulator/tenant_deployment.py
@@ -1,12 +1,13 @@
 """A simulated deployment whose configuration has tenants with keys; tests speak to it through HTTP alone."""
 
+from twisted.internet.defer import Deferred
+
 from fleet_simulator import stage
 from fleet_simulator import world as worlds
 from fleet_simulator.dial import dial
 from fleet_simulator.http import events_of, write
 from fleet_simulator.notes import Try, Version
 from fleet_simulator.routes import first_document, make_route, paths_of
-from twisted.internet.defer import Deferred
 
 SEED = 5
 TENANTS = {"tenant-a": ("key-a1", "key-a2"), "tenant-b": ("key-b1",)}
--- a/tests/test_tenant_isolation.py
+++ b/tests/test_platform_tenant_isolation.py
@@ -3,7 +3,7 @@
 import pytest
 from fleet_simulator import world as worlds
 from fleet_simulator.runners import EVENT_TOKENS
-from tenant_deployment import ROUTE_PATHS, TenantDeployment, subscriber, transcript
+from fleet_simulator.tenant_deployment import ROUTE_PATHS, TenantDeployment, subscriber, transcript
 
 from frostpost.daemon import structured_log
 
--- a/tests/test_tenant_requests.py
+++ b/tests/test_platform_tenant_requests.py
@@ -1,7 +1,14 @@
 """What a runner gets of a request that bears a tenant's key, judged by the bytes that it received."""
 
 import pytest
-from tenant_deployment import KEYLESS_PATH, ROUTE_PATHS, TenantDeployment, header_values, request_bytes, subscriber
+from fleet_simulator.tenant_deployment import (
+    KEYLESS_PATH,
+    ROUTE_PATHS,
+    TenantDeployment,
+    header_values,
+    request_bytes,
+    subscriber,
+)
 
 KINDS = sorted(ROUTE_PATHS)
 FORGED = b"tenant-b"
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -27,6 +27,7 @@
     "X-Prompt-Prefix",
     "X-Previous-Turn",
     "X-Base-Revision",
+    "X-Subscriber",
     "Configuration.Replace",
     "Configuration.Modify",
     "Configuration.Query",
