Add leases of platform tasks to the ledger, and the messages about them

Nothing calls the platform yet. This adds what the parts build on: operations that give one daemon at a time the lease of a subject under a rising fencing token, usage windows whose counts the first close decides, wanted numbers of runners, the messages between agents and the leader, and the settings.

Recorded bytes change on purpose: LeaseRequest and LeaseReply have new last fields, and new messages, operations and results are recorded.

--- a/frostpost/cluster/settings.py
+++ b/frostpost/cluster/settings.py
@@ -12,7 +12,12 @@
 
 
 class DaemonSettings(Struct, frozen=True):
-    """role: edge, core or storage. seeds: inner addresses (host:port) of the daemons contacted first."""
+    """role: edge, core or storage. seeds: inner addresses (host:port) of the daemons contacted first.
+
+    platform_tasks: kinds of tasks that the platform wants ("usage", "scaling"). tasks_per_s: how many such calls the
+    platform accepts from all daemons. task_separation_ms: time after a daemon's call before another daemon may call for
+    the same subject. report_window_ms: length of a usage window, due usage_delay_ms after its end.
+    """
 
     name: str
     role: str
@@ -53,6 +58,11 @@
     tick_ms: int = 500
     cache_bytes: int = 24 << 20
     trace: bool = False
+    platform_tasks: tuple[str, ...] = ()
+    tasks_per_s: float = 1.0
+    task_separation_ms: int = 3000
+    report_window_ms: int = 5000
+    usage_delay_ms: int = 10000
 
     @property
     def tolerance(self):
@@ -70,6 +80,8 @@
 
     listen(agent) returns Deferred[list of ports]; fetch_list(agent) returns Deferred[list[Runner]];
     routing_from_body(bytes) returns Routing; reread() returns Result[DaemonSettings, SettingsInvalid].
+    call_task(agent, task, fence, timeout_ms, may_send) makes the call of a platform task and returns
+    Deferred[TaskOutcome]; may_send() is asked immediately before the call is written.
     """
 
     listen: Callable
@@ -77,3 +89,4 @@
     fetch_list: Callable
     routing_from_body: Callable
     reread: Callable
+    call_task: Callable | None = None
--- a/frostpost/ledger/operations.py
+++ b/frostpost/ledger/operations.py
@@ -132,6 +132,8 @@
 
 # First version of the rules that allows replacing a voter that is not a member in one step.
 VOTER_EXCHANGE_RULES = 3
+# First version of the rules with the operations of platform tasks, which earlier builds can't decode.
+TASK_RULES = 4
 
 
 class Look(Struct, array_like=True, frozen=True, tag="look"):
--- a/frostpost/platform/settings.py
+++ b/frostpost/platform/settings.py
@@ -68,7 +68,10 @@
     "key-window-s",
     "recovery-s",
     "transit-ms",
+    "report-window-s",
+    "usage-delay-s",
 )
+TASK_KINDS = {"usage_report": "usage", "scaling": "scaling"}
 
 
 def table_schema(**fields):
@@ -95,8 +98,13 @@
     "limits": table_schema(memory_mb=NUMBER, max_fds=NUMBER, disk_mb=NUMBER),
     "data-dir": {"type": "string", "nullable": True},
     "tolerance": table_schema(machines=COUNT, zones=COUNT, regions=COUNT),
-    "timers": table_schema(**{name: NUMBER for name in TIMERS}),
-    "cloud-api": table_schema(address=ADDRESS, rate_per_s=NUMBER),
+    "timers": table_schema(**{name: NUMBER for name in (*TIMERS, "lease-ms")}),
+    "cloud-api": table_schema(
+        address=ADDRESS,
+        rate_per_s=NUMBER,
+        duty_per_s=NUMBER,
+        duties={"type": "list", "schema": {"type": "string"}, "nullable": True},
+    ),
     "frostpost-trace": {"type": "boolean", "nullable": True},
 }
 
@@ -134,6 +142,17 @@
     return converted
 
 
+def task_fields(cloud_api, timers):
+    """Return the fields of DaemonSettings about the tasks that the platform wants; unknown kinds are ignored."""
+    kinds = cloud_api.get("duties") or ()
+    fields = {"platform_tasks": tuple(TASK_KINDS[kind] for kind in kinds if kind in TASK_KINDS)}
+    if cloud_api.get("duty-per-s") is not None:
+        fields["tasks_per_s"] = float(cloud_api["duty-per-s"])
+    if timers.get("lease-ms") is not None:
+        fields["task_separation_ms"] = round(timers["lease-ms"])
+    return fields
+
+
 def integer_fields(section, **keys):
     """Return the keys of a section that are set, as integers by field of DaemonSettings."""
     return {field: int(section[key]) for field, key in keys.items() if section.get(key) is not None}
@@ -159,6 +178,7 @@
     fields |= integer_fields(
         document.get("tolerance") or {}, tolerated="machines", tolerated_zones="zones", tolerated_regions="regions"
     )
+    fields |= task_fields(cloud_api, document.get("timers") or {})
     fields["regions"] = {zone: region or "" for zone, region in (document.get("zones") or {}).items()}
     if cloud_api.get("address"):
         fields["list_host"], fields["list_port"] = parse_address(cloud_api["address"])
--- a/frostpost/program_ledger/apply.py
+++ b/frostpost/program_ledger/apply.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from heapq import heappop
 
-from . import keys, placement, routing_versions, turns
+from . import keys, placement, routing_versions, task_leases, turns
 from .messages import (
     AbortAttempt,
     BeginAttempt,
@@ -18,6 +18,7 @@
     RetireReplica,
     SetRouting,
 )
+from .task_messages import ClaimTask, CloseUsageWindow, CompleteTask, SetCapacity
 
 HANDLERS: dict[type, Callable] = {
     BeginAttempt: turns.begin,
@@ -30,6 +31,10 @@
     SetRouting: routing_versions.set_routing,
     ReadRouting: routing_versions.read_routing,
     CompleteRetirement: routing_versions.complete_retirement,
+    ClaimTask: task_leases.claim,
+    CompleteTask: task_leases.complete,
+    CloseUsageWindow: task_leases.close_window,
+    SetCapacity: task_leases.set_capacity,
 }
 RETIREMENT_HANDLERS: dict[type, Callable] = {
     RetireReplica: routing_versions.start_retirement,
@@ -74,3 +79,4 @@
         _, kind, name = heappop(program_ledger.expiries)
         EXPIRY_HANDLERS[kind](program_ledger, now_ms, name)
     placement.expire_idle_runners(program_ledger, now_ms)
+    task_leases.expire(program_ledger, now_ms)
--- a/frostpost/program_ledger/messages.py
+++ b/frostpost/program_ledger/messages.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct
 
+from .task_messages import TaskOperation, TaskResult
+
 
 class Candidate(Struct, array_like=True, frozen=True):
     """A runner on which the attempt may be placed; `penalty` is an additional cost in tokens."""
@@ -139,6 +141,7 @@
     | RetireReplica
     | CompleteRetirement
     | ReadRetirement
+    | TaskOperation
 )
 
 
@@ -205,10 +208,9 @@
 
 
 class RoutingState(Struct, array_like=True, frozen=True, tag="routingHeld"):
-    """The current routing.
+    """The current routing; `taken`: the change in the operation was accepted.
 
-    `taken` is whether the change in the operation was accepted, `uncertain` whether it may have been accepted and
-    evicted since.
+    `uncertain`: it may have been accepted and evicted since.
     """
 
     version: int
@@ -244,4 +246,5 @@
     | RoutingState
     | RoutingForgotten
     | RetirementState
+    | TaskResult
 )
--- a/frostpost/program_ledger/state.py
+++ b/frostpost/program_ledger/state.py
@@ -1,6 +1,8 @@
 """State of the program ledger, which holds programs as trees of turns; changed only by `apply`."""
 
-from msgspec import Struct
+from msgspec import Struct, field
+
+from frostpost.virtual_synchrony.task_messages import TenantRequests
 
 from .messages import NoTurn, TokensSpent
 
@@ -67,6 +69,40 @@
     until_ms: int
 
 
+class TaskLease(Struct, array_like=True):
+    """The lease of a task's subject; its fencing token rises with each change of the owner."""
+
+    owner: str
+    fence: int
+    until_ms: int
+
+
+class OrderedCapacity(Struct, array_like=True):
+    """The wanted number of runners of a service in a zone; `number` counts the changes of it."""
+
+    service: str
+    zone: str
+    desired: int
+    number: int
+    reported: bool = False
+
+
+class PlatformTasks(Struct, array_like=True):
+    """Tasks at the platform and the leases under which daemons run them (see `task_leases`).
+
+    `leases` by kind and subject; `last_fence` is the highest fencing token of all; `windows` holds the usage of the
+    windows that are closed and not reported, oldest first; windows up to `closed_window` are closed; `capacities` by
+    service and zone.
+    """
+
+    leases: dict[str, TaskLease] = {}
+    last_fence: int = 0
+    windows: dict[int, tuple[TenantRequests, ...]] = {}
+    closed_window: int = 0
+    capacities: dict[str, OrderedCapacity] = {}
+    last_order: int = 0
+
+
 class ProgramLedger(Struct, array_like=True):
     """Turns, attempts, accounts, operation keys, runners and routing.
 
@@ -87,3 +123,4 @@
     expiries: list[tuple[int, str, str]] = []
     taken: dict[int, AcceptedChange] = {}
     forgotten_version: int = 0
+    tasks: PlatformTasks = field(default_factory=PlatformTasks)
--- a/frostpost/virtual_synchrony/agent_messages.py
+++ b/frostpost/virtual_synchrony/agent_messages.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from .endpoints import Endpoint
+from .task_messages import TaskFailed, TaskOffer, UsageReply, UsageReport
 
 
 class DirectoryRequest(Struct, frozen=True, array_like=True, tag=22):
@@ -27,7 +28,8 @@
     configuration whose endpoints the agent has. draining: runners marked as draining in the platform's runner list.
     list_digest: digest of the runner list as the agent last read it. list_age_ms: age of that list; -1 if the agent has
     read none. list_period_ms: desired interval between two reads of the list, counted over all agents; 0 if the sender
-    cannot read the list at present.
+    cannot read the list at present. wall_ms: the agent's time of day at sending, in milliseconds since 1970; 0 if
+    unknown. can_run_tasks: whether the agent can make calls at the platform.
     """
 
     sent_ms: int
@@ -37,6 +39,8 @@
     list_digest: int = 0
     list_age_ms: int = -1
     list_period_ms: int = 0
+    wall_ms: int = 0
+    can_run_tasks: bool = False
 
 
 class LeaseReply(Struct, frozen=True, array_like=True, tag=25):
@@ -46,7 +50,8 @@
     the routing in force. honoured: newest version that every agent with a running lease has applied. agent_count:
     number of agents that hold a lease. draining: runners that any agent reported as draining. list_digest, list_age_ms:
     digest and age of the newest runner list that any agent reported. list_turn: whether this agent is to read the list
-    now.
+    now. task_offers: platform tasks that this agent is to claim now. fleet_ms: the fleet's time of day, in milliseconds
+    since 1970; 0 if unknown. closed: usage windows up to this number are closed; -1 if the sequencer takes no reports.
     """
 
     sent_ms: int
@@ -62,6 +67,9 @@
     list_digest: int = 0
     list_age_ms: int = -1
     list_turn: bool = False
+    task_offers: tuple[TaskOffer, ...] = ()
+    fleet_ms: int = 0
+    closed: int = -1
 
 
 class OperationRequest(Struct, frozen=True, array_like=True, tag=26):
@@ -169,4 +177,7 @@
     GetBodiesReply,
     StatusRequest,
     StatusReply,
+    UsageReport,
+    UsageReply,
+    TaskFailed,
 )
--- a/frostpost/virtual_synchrony/frames.py
+++ b/frostpost/virtual_synchrony/frames.py
@@ -41,6 +41,7 @@
     SnapshotChunk,
     SubmitRequest,
 )
+from .task_messages import TaskFailed, UsageReply, UsageReport
 
 FRAME_VERSION = 1
 
@@ -83,6 +84,9 @@
     | StatusReply
     | BootstrapRequest
     | BootstrapReply
+    | UsageReport
+    | UsageReply
+    | TaskFailed
 )
 
 
