Run platform tasks: usage counted, windows closed, tasks offered, claimed and called

Agents count the requests that began to run, by tenant and window of the fleet's time of day, and report them to the leader. The leader closes each window in the ledger, offers what is due to one agent, and that agent claims the lease and makes the call.

--- a/frostpost/cluster/agent.py
+++ b/frostpost/cluster/agent.py
@@ -18,8 +18,19 @@
 )
 from frostpost.virtual_synchrony.endpoints import PROTOCOL_REVISION, Endpoint, Member
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
-
-from . import address_store, bootstrap, directory, lease_client, lease_waiters, operation_client, status
+from frostpost.virtual_synchrony.task_messages import UsageReply
+
+from . import (
+    address_store,
+    bootstrap,
+    directory,
+    lease_client,
+    lease_waiters,
+    operation_client,
+    status,
+    task_client,
+    usage_reports,
+)
 from .agent_context import AgentContext, now_ms
 
 STORAGE_ROLE = "storage"
@@ -43,6 +54,7 @@
     agent.wire = front.wire
     agent.links["send"] = make_links(agent)
     agent.attachments["routing_from_body"] = front.routing_from_body
+    agent.attachments["call_task"] = front.call_task
     agent.attachments["fetch_list"] = lambda: front.fetch_list(agent)
     agent.attachments["stops"] = []
     lease_client.session_of(agent)
@@ -63,12 +75,15 @@
         case LeaseReply():
             if lease_client.on_lease_reply(agent, endpoint, body):
                 operation_client.resend_all(agent)
+            on_grant(agent, endpoint, body)
             lease_waiters.wake_lease_waiters(agent)
             turn_store_client.recheck_puts(agent)
             if agent.ticker is not None:
                 agent.ticker.wake(lease_client.due_ms(agent) - now_ms(agent))
         case OperationReply():
             operation_client.on_operation_reply(agent, body)
+        case UsageReply():
+            usage_reports.on_usage_reply(agent, body)
         case RoutingUpdate():
             lease_client.on_routing_update(agent, body)
             lease_waiters.wake_lease_waiters(agent)
@@ -97,6 +112,15 @@
                 send_directory(agent, requester)
 
 
+def on_grant(agent, endpoint, grant):
+    """Handle what a lease reply of the sequencer says about platform tasks and usage."""
+    if grant.sequencer != endpoint.member.name or not agent.settings.platform_tasks:
+        return
+    usage_reports.on_closed(agent, grant.closed)
+    usage_reports.report_if_due(agent)
+    task_client.on_task_offers(agent, grant.task_offers)
+
+
 def send_directory(agent, endpoint):
     """Send the known replicas to the daemon that requested them."""
     agent.links["send"](lease_client.address_of(endpoint), directory.current(agent))
@@ -110,6 +134,7 @@
             agent.attachments["peers"], [f"{e.host}:{e.port}" for e in agent.directory.values()]
         )
     operation_client.resend_due(agent)
+    usage_reports.report_if_due(agent)
     bootstrap.advance(agent)
 
 
@@ -117,8 +142,8 @@
     """Milliseconds until `run_due_work` next has something to do."""
     if bootstrap.is_pending(agent):
         return 0
-    operations_due_ms, lease_due_ms = operation_client.due_ms(agent), lease_client.due_ms(agent)
-    return (lease_due_ms if operations_due_ms is None else min(operations_due_ms, lease_due_ms)) - now_ms(agent)
+    due_ms = (lease_client.due_ms(agent), operation_client.due_ms(agent), usage_reports.due_ms(agent))
+    return min(at_ms for at_ms in due_ms if at_ms is not None) - now_ms(agent)
 
 
 def start_ticker(agent, stop):
@@ -175,6 +200,7 @@
         )
 
     def on_drained(_):
+        usage_reports.send_last_report(agent)
         log_event("left", flights=agent.requests_in_flight)
         agent.reactor.callLater(0.1, stop, 0)
 
--- a/frostpost/cluster/agent_context.py
+++ b/frostpost/cluster/agent_context.py
@@ -10,8 +10,8 @@
     """All mutable state of an agent; made by `agent.make_agent` and used only on the event loop's thread.
 
     Each module keeps its state in a field of its own: `session` belongs to lease_client, `operations` to
-    operation_client, `body_client` to turn_store, `pools`, `loads` and `slot_overheads` to proxy. `attachments` holds
-    further objects by name.
+    operation_client, `usage` to usage_reports, `body_client` to turn_store, `pools`, `loads` and `slot_overheads` to
+    proxy. `attachments` holds further objects by name.
     """
 
     __slots__ = (
@@ -48,6 +48,7 @@
         "lease_waiters",
         "slot_overheads",
         "runner_list",
+        "usage",
     )
 
     def __init__(self, settings, reactor, endpoint, machine=MACHINE):
@@ -58,6 +59,7 @@
         self.draining, self.requests_in_flight, self.open_requests, self.tasks = False, 0, 0, []
         self.hooks, self.operations, self.ticker, self.sent_directories = TestHooks(), None, None, {}
         self.lease_waiters, self.slot_overheads, self.runner_list = [], {}, RunnerListState()
+        self.usage = None
         self.lifecycle, self.front, self.lag_ms, self.components, self.attachments = None, None, 0.0, {}, {}
 
 
--- a/frostpost/cluster/agent_sessions.py
+++ b/frostpost/cluster/agent_sessions.py
@@ -14,14 +14,19 @@
 )
 from frostpost.virtual_synchrony.leases import lease_remaining_ms
 from frostpost.virtual_synchrony.members import member_names, sequencer_of
+from frostpost.virtual_synchrony.task_messages import TaskFailed, UsageReport
 
-from . import list_reading
+from . import list_reading, task_server
 from .admission_queue import AdmissionQueue
+from .fleet_time import FleetClock
 from .leadership import is_sequencer
 from .lease_client import RENEWALS_PER_LEASE
 from .list_polling import ListPollSchedule, grant_poll
 from .list_reading import ListReading
 from .operation_server import on_operation_request
+from .settings import DaemonSettings
+from .task_schedule import TaskSchedule
+from .usage_collection import UsageCollection
 
 ROUTING_GRACE_RATIO = 0.5
 DRAINING_RETENTION_MS = 15000
@@ -29,12 +34,16 @@
 
 
 class AgentSession(Struct):
-    """until_ms: the latest end of any lease granted to the agent, on this daemon's clock."""
+    """until_ms: the latest end of any lease granted to the agent, on this daemon's clock.
+
+    wall_offset_ms: the agent's time of day minus this daemon's clock, None if unknown.
+    """
 
     address: str
     incarnation: int
     routing_version: int
     until_ms: int
+    wall_offset_ms: int | None = None
 
 
 class LeaseSummary(Struct, frozen=True):
@@ -51,7 +60,7 @@
     routing_since_ms: when the current routing took effect here. draining: runners reported as draining, with the time
     at which the report expires. newest_list: the latest reading of the runner list that any agent reported. list_polls:
     which agent reads it next. summary: cached; None once an agent changed its routing version or incarnation or got a
-    new lease.
+    new lease. settings: those of this daemon. fleet_clock, tasks, usage: see their modules.
     """
 
     agents: dict[str, AgentSession] = {}
@@ -63,6 +72,10 @@
     newest_list: ListReading = ListReading()
     list_polls: ListPollSchedule = field(default_factory=ListPollSchedule)
     admission: AdmissionQueue = field(default_factory=AdmissionQueue)
+    settings: DaemonSettings = DaemonSettings("", "storage", "", "", 0)
+    fleet_clock: FleetClock = field(default_factory=FleetClock)
+    tasks: TaskSchedule = field(default_factory=TaskSchedule)
+    usage: UsageCollection = field(default_factory=UsageCollection)
 
 
 def voters_of(ctx):
@@ -143,6 +156,9 @@
             synchrony.bounds.lease_ms // RENEWALS_PER_LEASE,
             now,
         ),
+        task_server.offer_tasks(ctx, sessions, endpoint, message, lease_ms, now),
+        task_server.fleet_time_ms(ctx, sessions, session, message, now),
+        task_server.closed_window(ctx, sessions),
     )
 
 
@@ -208,6 +224,8 @@
             program_ledger = ctx.core.ledger.program_ledger
             if program_ledger.routing_version > body.version:
                 ctx.links["send"](address, RoutingUpdate(program_ledger.routing_version, program_ledger.routing_body))
+        case UsageReport() | TaskFailed():
+            task_server.on_task_message(ctx, sessions, endpoint, body)
         case DirectoryRequest():
             synchrony = ctx.core.synchrony
             endpoints = (synchrony.endpoint, *(p.endpoint for p in synchrony.peers.values()))
--- a/frostpost/cluster/lease_client.py
+++ b/frostpost/cluster/lease_client.py
@@ -5,7 +5,7 @@
 from frostpost.daemon.structured_log import log_event
 from frostpost.virtual_synchrony.agent_messages import DirectoryRequest, LeaseRequest, RoutingRequest
 
-from . import list_reading
+from . import fleet_time, list_reading
 from .agent_context import count, now_ms
 
 RENEWALS_PER_LEASE = 5
@@ -18,7 +18,8 @@
 class Session(Struct):
     """sequencer: the replica that granted the last lease. until_ms: end of the lease, on this daemon's clock.
 
-    search_started_ms: when this daemon began to search for its first lease.
+    search_started_ms: when this daemon began to search for its first lease. fleet_offset_ms: the fleet's time of day
+    minus this daemon's clock, None if unknown.
     """
 
     sequencer: str = ""
@@ -35,6 +36,7 @@
     routing_version: int = 0
     agent_count: int = 1
     search_started_ms: int = 0
+    fleet_offset_ms: int | None = None
 
 
 def session_of(agent):
@@ -95,9 +97,21 @@
         runner_list.last.digest,
         list_reading.age_ms(runner_list.last, now),
         runner_list.poll_period_ms(),
+        int(agent.machine.wall_s() * 1000) if wanted_tasks(agent) else 0,
+        can_run_tasks(agent),
     )
 
 
+def wanted_tasks(agent):
+    """Kinds of tasks that the platform wants; none if the settings object lacks them, as those of tests do."""
+    return getattr(agent.settings, "platform_tasks", ())
+
+
+def can_run_tasks(agent):
+    """Whether this daemon can make the calls of platform tasks."""
+    return bool(wanted_tasks(agent) and agent.settings.list_host and not agent.draining)
+
+
 def due_ms(agent):
     """When `renew_if_due` next has something to do, on this daemon's clock."""
     session = session_of(agent)
@@ -198,6 +212,7 @@
     session.honoured_version = max(session.honoured_version, grant.honoured)
     session.agent_count = max(1, grant.agent_count)
     on_list_update(agent, grant)
+    fleet_time.on_grant(session, grant, now)
     if grant.endpoints:
         contact_new_replicas(agent, grant.endpoints, session.sequencer)
         agent.directory = {e.member.name: e for e in grant.endpoints}
--- a/frostpost/cluster/replica_context.py
+++ b/frostpost/cluster/replica_context.py
@@ -38,7 +38,10 @@
 
     def __init__(self, ctx, settings, stop):
         self.ctx, self.settings, self.stop = ctx, settings, stop
-        self.sessions, self.voter_changes = agent_sessions.AgentSessions(), voter_reconfiguration.VoterChanges()
+        self.sessions, self.voter_changes = (
+            agent_sessions.AgentSessions(settings=settings),
+            voter_reconfiguration.VoterChanges(),
+        )
         self.reactor, self.machine, self.tasks = ctx.reactor, ctx.machine, []
         self.turn_store, self.send, self.records, self.awaiting_bootstrap, self.bootstrap_voters = (
             None,
--- a/frostpost/cluster/replica_daemon.py
+++ b/frostpost/cluster/replica_daemon.py
@@ -26,7 +26,7 @@
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
 from frostpost.write_ahead_log import log as write_ahead_logs
 
-from . import address_store, admission_queue, agent_sessions, announcements, status, voter_reconfiguration
+from . import address_store, admission_queue, agent_sessions, announcements, status, task_server, voter_reconfiguration
 from .replica_context import ROLE, ProcessExit, ReplicaContext, replica_settings
 
 SHUTDOWN_DELAY_S = 0.4
@@ -115,6 +115,7 @@
     run_every(replica, lambda: change_voters(replica), 0.1)
     run_every(replica, lambda: tick_ledger(ctx), settings.tick_ms / 1000)
     run_every(replica, lambda: repair(replica), 0.2)
+    run_every(replica, lambda: task_server.collect(ctx, replica.sessions), task_server.COLLECT_INTERVAL_S)
     run_every(replica, lambda: save_addresses(replica), 1.0)
     run_every(replica, lambda: expire(replica), 10.0)
     run_every(replica, lambda: announcements.announce_to_lapsed(replica), settings.lease_ms / 1000)
--- a/frostpost/cluster/settings.py
+++ b/frostpost/cluster/settings.py
@@ -11,6 +11,12 @@
 Address = tuple[str, int]
 
 
+# The ledger's clock advances by at most this many intervals at once.
+MAX_TICKS_AT_ONCE = 3
+# Share of the separation between two daemons' calls in which a call may be on its way.
+TRANSIT_RATIO = 0.1
+
+
 class DaemonSettings(Struct, frozen=True):
     """role: edge, core or storage. seeds: inner addresses (host:port) of the daemons contacted first.
 
@@ -74,6 +80,22 @@
         """The number of replicas, each in its own zone and region, that keep a majority after any tolerated loss."""
         return 2 * max(self.tolerated, self.tolerated_zones, self.tolerated_regions) + 1
 
+    @property
+    def task_call_ms(self):
+        """How long a daemon may call for a task, counted from before it claimed the lease."""
+        return self.task_separation_ms // 2
+
+    @property
+    def task_lease_ms(self):
+        """Length of the lease of a task on the ledger's clock.
+
+        That clock may show up to `clock_error_ms` more than has passed since a grant: the time before it that the next
+        advance covers. See "Platform tasks" in docs/design.md for why these lengths keep the separation.
+        """
+        clock_error_ms = self.lease_ms + MAX_TICKS_AT_ONCE * self.tick_ms
+        transit_ms = int(self.task_separation_ms * TRANSIT_RATIO)
+        return max(self.task_separation_ms, self.task_call_ms + transit_ms + clock_error_ms)
+
 
 class Front(Struct, frozen=True):
     """Callables and wire names of the platform's front.
--- a/frostpost/platform/listening.py
+++ b/frostpost/platform/listening.py
@@ -45,6 +45,13 @@
     return fetch_all(agent)
 
 
+def call_task(agent, task, fence, timeout_ms, may_send):
+    """Make the call of a platform task. Returns Deferred[TaskOutcome]."""
+    from .task_calls import call_task as call
+
+    return call(agent, task, fence, timeout_ms, may_send)
+
+
 def routing_from_body(body):
     """Decode a stored configuration into Routing."""
     from .routing import routing_from_body as decode
@@ -60,4 +67,5 @@
         fetch_list=fetch_list,
         routing_from_body=routing_from_body,
         reread=lambda: read_settings(path, role),
+        call_task=call_task,
     )
--- a/frostpost/proxy/exchange.py
+++ b/frostpost/proxy/exchange.py
@@ -46,12 +46,12 @@
     is stopped.
     """
 
-    __slots__ = ("body", "call", "connection", "head", "agent", "listener", "runner", "state", "until_ms")
+    __slots__ = ("body", "call", "connection", "head", "agent", "listener", "runner", "state", "until_ms", "written_ms")
 
     def __init__(self, agent, runner, call, body, until_ms, listener):
         self.agent, self.runner, self.call, self.body = agent, runner, call, body
         self.until_ms, self.listener = until_ms, listener
-        self.connection, self.head, self.state = None, None, QUEUED
+        self.connection, self.head, self.state, self.written_ms = None, None, QUEUED, 0
 
     @property
     def has_ended(self):
@@ -78,7 +78,8 @@
 
     def write_to(self, connection):
         """Write the request to a connection."""
-        remaining_ms = self.until_ms - now_ms(self.agent)
+        self.written_ms = now_ms(self.agent)
+        remaining_ms = self.until_ms - self.written_ms
         data = request_bytes(self.agent.wire, self.runner, self.call, self.body, remaining_ms)
         self.connection = connection
         self.handle_event(Written(connection.exchange_count == 0))
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -96,6 +96,7 @@
     prompt_parts: tuple[tuple[str, int], ...] = ()
     program_remaining_ms: int = 0
     last_event_id: str = ""
+    tenant: str = ""
     delays: Delays = field(default_factory=Delays)
 
 
--- a/frostpost/proxy/runner_request.py
+++ b/frostpost/proxy/runner_request.py
@@ -4,7 +4,7 @@
 
 from frostpost.cluster.agent_context import now_ms
 
-from . import load_balancing, pool
+from . import load_balancing, pool, usage
 from .outcomes import Answer, Broken, ClientLeft, Late, NotSent, Whole
 
 MAX_BUFFERED_BYTES = 8 << 20
@@ -57,12 +57,13 @@
         "chunks",
         "size",
         "is_streaming",
+        "has_data",
     )
 
     def __init__(self, agent, runner, watcher, on_head, on_data):
         self.agent, self.runner, self.watcher, self.on_head, self.on_data = agent, runner, watcher, on_head, on_data
         self.exchange, self.timer, self.finished, self.response_head = None, None, Deferred(), None
-        self.chunks, self.size, self.is_streaming = [], 0, False
+        self.chunks, self.size, self.is_streaming, self.has_data = [], 0, False, False
 
     def start(self, call, body, until_ms):
         """Send the request; returns a Deferred of its outcome."""
@@ -86,6 +87,9 @@
     def data(self, data):
         """Handle a piece of the body."""
         if self.is_streaming:
+            if not self.has_data:
+                self.has_data = True
+                usage.count_first_event(self.agent, self.exchange.call)
             return self.on_data(data)
         self.size += len(data)
         self.chunks.append(data)
@@ -125,6 +129,8 @@
         if self.watcher is not None:
             self.watcher.request = None
         head = self.exchange.head if self.exchange is not None else None
+        if self.on_head is None and self.exchange is not None:
+            usage.count_plain_run(self.agent, self.exchange, outcome)
         load_balancing.count_ended(self.agent, self.runner, outcome, head)
         self.finished.callback(outcome)
 
