--- a/frostpost/cluster/task_client.py
+++ b/frostpost/cluster/task_client.py
@@ -63,7 +63,7 @@
         count(agent, "tasks_not_won")
         return
     grant = result.ok
-    fields = {"kind": offer.kind, "subject": offer.subject, "fence": grant.fence, "number": grant.task.number}
+    fields = {"task": offer.kind, "subject": offer.subject, "fence": grant.fence, "number": grant.task.number}
     log_event("task_won", **fields, took_ms=now_ms(agent) - claimed_ms)
     called_ms = now_ms(agent)
     outcome = yield call_platform(agent, grant, until_ms)
--- a/frostpost/cluster/task_schedule.py
+++ b/frostpost/cluster/task_schedule.py
@@ -71,7 +71,7 @@
             continue
         schedule.offers[key] = Offer(name, task.number, now_ms + OFFER_MS)
         schedule.next_offer_ms = now_ms + int(1000 / max(0.001, RATE_RATIO * settings.tasks_per_s))
-        log_event("task_offered", kind=kind, subject=subject, number=task.number, agent=name)
+        log_event("task_offered", task=kind, subject=subject, number=task.number, agent=name)
         offered.append(TaskOffer(kind, subject))
     return tuple(offered)
 
--- a/frostpost/cluster/usage_reports.py
+++ b/frostpost/cluster/usage_reports.py
@@ -19,7 +19,7 @@
 class UsageCounter(Struct):
     """Counts by window and tenant.
 
-    changed: windows whose counts the leader may not know. sent: those of them in the last report, which has `number`.
+    changed: windows with counts since the last report, which has `number`. sent: windows in it, until the leader replies.
     leader: the sequencer and epoch that the last report went to. closed: as in the last lease reply.
     """
 
@@ -110,11 +110,12 @@
     if counter.closed == 0 and not counter.windows:
         open_first_window(agent, counter)
     demand = service_demand(agent)
-    if not counter.changed and not demand:
+    counter.sent |= counter.changed
+    counter.changed = set()
+    if not counter.sent and not demand:
         return
     counter.number += 1
-    counter.sent = set(counter.changed)
-    windows = tuple(WindowUsage(window, tenant_requests(counter.windows[window])) for window in sorted(counter.changed))
+    windows = tuple(WindowUsage(window, tenant_requests(counter.windows[window])) for window in sorted(counter.sent))
     address = replica_addresses(agent).get(session_of(agent).sequencer)
     if address is not None:
         agent.links["send"](address, UsageReport(counter.number, windows, demand))
@@ -143,5 +144,4 @@
     counter = counter_of(agent)
     on_closed(agent, message.closed)
     if message.number == counter.number:
-        counter.changed -= counter.sent
         counter.sent = set()
