Read the bounds on the number of runners of a service

A service's scaling (min-count, max-count, boot-s) was kept in the stored document and not interpreted, so nothing could order runners and a document with bounds out of order was acknowledged. Service.scaling now holds them as ScalingBounds; bounds of a wrong type, out of order or negative make the document invalid. A body that an earlier build stored with such bounds can no longer be read; none is known.

--- a/frostpost/platform/document_validation.py
+++ b/frostpost/platform/document_validation.py
@@ -6,6 +6,8 @@
 from .strict_json import RoutingInvalid
 
 MAX_ISSUE = (1 << 63) - 1
+MAX_SCALING_COUNT = 1 << 31
+MAX_BOOT_S = 1e9
 DOCUMENT_VALIDATOR = Validator(
     {
         "issue": {"type": "integer", "required": True, "min": 1, "max": MAX_ISSUE},
@@ -39,6 +41,18 @@
     return next((value for value in values if value in seen or seen.add(value)), None)
 
 
+def scaling_errors(services):
+    """Yield the errors of the bounds between which runners of services are ordered."""
+    for service in services:
+        scaling = service.scaling
+        if scaling is None:
+            continue
+        if not 0 <= scaling.min_count <= scaling.max_count <= MAX_SCALING_COUNT:
+            yield RoutingInvalid(service.name, "min-count and max-count must be in order and not negative")
+        if not 0 <= scaling.boot_s <= MAX_BOOT_S:
+            yield RoutingInvalid(service.name, "boot-s must not be negative")
+
+
 def document_errors(document):
     """Yield the semantic errors of a document that matches the schema."""
     routes, services = document.route_table, document.service_table
@@ -61,3 +75,4 @@
             yield RoutingInvalid(route.name, "the weights add up to nothing")
         if any(service not in service_names for service, _ in weights):
             yield RoutingInvalid(route.name, "names an unknown service")
+    yield from scaling_errors(services)
--- a/frostpost/platform/documents.py
+++ b/frostpost/platform/documents.py
@@ -37,6 +37,14 @@
     event_tokens: int | None = None
 
 
+class Scaling(Struct, rename="kebab"):
+    """How many runners of a service may be ordered in each of its zones, and how long a new one takes to serve."""
+
+    min_count: int
+    max_count: int
+    boot_s: float = 0
+
+
 class ServiceItem(Struct, rename="kebab"):
     """A service as written in the document."""
 
@@ -44,6 +52,7 @@
     max_connections: int = 64
     self_dedup: bool | None = None
     engine: Engine | None = None
+    scaling: Scaling | None = None
 
 
 class BoundsItem(Struct, rename="kebab"):
--- a/frostpost/platform/routing.py
+++ b/frostpost/platform/routing.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok
 from msgspec import Raw, Struct
 
-from frostpost.proxy.models import ClientBounds, Route, Routing, Service
+from frostpost.proxy.models import ClientBounds, Route, Routing, ScalingBounds, Service
 
 from .document_validation import DOCUMENT_VALIDATOR, document_errors, route_weights, validate_schema
 from .documents import BoundsItem, Document, Engine
@@ -49,6 +49,13 @@
     )
 
 
+def build_scaling(item):
+    """Convert a service's bounds on its number of runners into ScalingBounds, or None if it is not scaled."""
+    if item is None:
+        return None
+    return ScalingBounds(item.min_count, item.max_count, to_milliseconds(item.boot_s * 1000))
+
+
 def build_service(item):
     """Convert a service of the document into a Service."""
     engine = item.engine or Engine()
@@ -59,6 +66,7 @@
         event_tokens=engine.event_tokens or 0,
         slots=engine.capacity or 0,
         cache_tokens=engine.cache_tokens or 0,
+        scaling=build_scaling(item.scaling),
     )
 
 
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -26,8 +26,16 @@
     max_event_gap_ms: int = 0
 
 
+class ScalingBounds(Struct, frozen=True):
+    """How many runners a service may have in each of its zones; a runner that is ordered serves after boot_ms."""
+
+    min_count: int
+    max_count: int
+    boot_ms: int
+
+
 class Service(Struct, frozen=True):
-    """A service and the capacity of its runners."""
+    """A service and the capacity of its runners; `scaling` is None if their number is not ordered."""
 
     name: str
     max_connections: int
@@ -35,6 +43,7 @@
     event_tokens: int = 0
     slots: int = 0
     cache_tokens: int = 0
+    scaling: ScalingBounds | None = None
 
 
 class ClientBounds(Struct, frozen=True):
