--- a/frostpost/cluster/scaling_policy.py
+++ b/frostpost/cluster/scaling_policy.py
@@ -1,8 +1,9 @@
-"""The policy by which the number of a service's runners changes: pure functions over what the leader knows of a service.
+"""The policy by which the number of a service's runners changes: pure functions over the leader's view of a service.
 
-Demand is counted in busy slots: requests in flight at runners and requests that wait for a slot. A service is scaled out
-at once when demand nears its capacity, since an ordered runner serves only after its boot time, and scaled in a step at a
-time after a calm period. The distance between the ratios keeps steady demand with noise from changing anything.
+Demand is counted in busy slots: requests in flight at runners and requests that wait for a slot. A service is scaled
+out at once when demand nears its capacity, since an ordered runner serves only after its boot time, and scaled in a
+step at a time after a calm period. The distance between the ratios keeps steady demand with noise from changing
+anything.
 """
 
 from math import ceil
