--- a/frostpost/cluster/agent_context.py
+++ b/frostpost/cluster/agent_context.py
@@ -10,8 +10,8 @@
     """All mutable state of an agent; made by `agent.make_agent` and used only on the event loop's thread.
 
     Each module keeps its state in a field of its own: `session` belongs to lease_client, `operations` to
-    operation_client, `body_client` to turn_store, `pools`, `loads` and `slot_overheads` to proxy. `attachments` holds
-    further objects by name.
+    operation_client, `body_client` to turn_store, `pools`, `loads`, `slot_overheads` and
+    `demand_meters` to proxy. `attachments` holds further objects by name.
     """
 
     __slots__ = (
@@ -48,6 +48,7 @@
         "lease_waiters",
         "slot_overheads",
         "runner_list",
+        "demand_meters",
     )
 
     def __init__(self, settings, reactor, endpoint, machine=MACHINE):
@@ -59,6 +60,7 @@
         self.hooks, self.operations, self.ticker, self.sent_directories = TestHooks(), None, None, {}
         self.lease_waiters, self.slot_overheads, self.runner_list = [], {}, RunnerListState()
         self.lifecycle, self.front, self.lag_ms, self.components, self.attachments = None, None, 0.0, {}, {}
+        self.demand_meters = {}
 
 
 def now_ms(agent):
--- a/frostpost/proxy/load_balancing.py
+++ b/frostpost/proxy/load_balancing.py
@@ -8,6 +8,7 @@
 from frostpost.cluster.agent_context import now_ms
 from frostpost.program_ledger.messages import Candidate
 
+from . import service_demand
 from .outcomes import Broken, Late, NotRun, NotSent
 from .slot_overhead import countable_slots, overhead_of
 
@@ -134,6 +135,7 @@
     sequence = agent.attachments["waiter"] = agent.attachments.get("waiter", 0) + 1
     waiter = Waiter(route.rank, sequence, until_ms, tuple(tried), salt, Deferred())
     queue.append(waiter)
+    service_demand.on_begun(agent, service.name)
     return waiter.assigned
 
 
@@ -144,6 +146,7 @@
         runner = pick_runner(agent, service, waiter.tried, waiter.salt)
         if runner is not None or waiter.until_ms <= now:
             queue.remove(waiter)
+            service_demand.on_ended(agent, service.name)
             waiter.assigned.callback(runner)
     if queue:
         agent.reactor.callLater(QUEUE_POLL_S, assign_queued, agent, service, queue)
@@ -152,12 +155,14 @@
 def count_sent(agent, runner):
     """Count a request that is being sent to a runner."""
     load_of(agent, runner.id).own_requests += 1
+    service_demand.on_begun(agent, runner.service)
 
 
 def count_ended(agent, runner, outcome, head):
     """Update a runner's load after a send; head is None if no response head was received."""
     load = load_of(agent, runner.id)
     load.own_requests -= 1
+    service_demand.on_ended(agent, runner.service)
     now = now_ms(agent)
     if head is not None and head.load is not None:
         load.other_requests, load.reported_ms = max(0, head.load[0] + head.load[1] - load.own_requests - 1), now
