Order runners from the demand that agents report

The leader turns each agent's counters of busy slots and its listed runners into SetCapacity operations by the scaling policy. Reports count from the start of a process, so a lost or repeated one does no harm; a new leader, cut off agents, an old list or an order that the platform doesn't have yet order nothing or remove nothing.

--- a/frostpost/cluster/agent.py
+++ b/frostpost/cluster/agent.py
@@ -148,9 +148,10 @@
             agent.links["send"](f"@{address}", DirectoryRequest())
         start_ticker(agent, stop)
         if agent.settings.front and agent.settings.list_host:
-            from frostpost.proxy import runner_discovery
+            from frostpost.proxy import runner_discovery, service_demand
 
             agent.attachments["stops"].append(runner_discovery.poll(agent))
+            agent.attachments["service_demand"] = lambda: service_demand.demand_report(agent)
         log_event("started", name=agent.settings.name, role=agent.settings.role)
 
     listen(agent, on_frame).addCallback(lambda _: front.listen(agent)).addCallbacks(on_listening, on_listen_failure)
--- a/frostpost/cluster/agent_sessions.py
+++ b/frostpost/cluster/agent_sessions.py
@@ -17,6 +17,7 @@
 
 from . import list_reading
 from .admission_queue import AdmissionQueue
+from .demand_history import CapacityState
 from .leadership import is_sequencer
 from .lease_client import RENEWALS_PER_LEASE
 from .list_polling import ListPollSchedule, grant_poll
@@ -35,6 +36,8 @@
     incarnation: int
     routing_version: int
     until_ms: int
+    role: str = ""
+    zone: str = ""
 
 
 class LeaseSummary(Struct, frozen=True):
@@ -50,8 +53,8 @@
 
     routing_since_ms: when the current routing took effect here. draining: runners reported as draining, with the time
     at which the report expires. newest_list: the latest reading of the runner list that any agent reported. list_polls:
-    which agent reads it next. summary: cached; None once an agent changed its routing version or incarnation or got a
-    new lease.
+    which agent reads it next. capacity: the demand on services, from which runners are ordered. summary: cached; None
+    once an agent changed its routing version or incarnation or got a new lease.
     """
 
     agents: dict[str, AgentSession] = {}
@@ -63,6 +66,7 @@
     newest_list: ListReading = ListReading()
     list_polls: ListPollSchedule = field(default_factory=ListPollSchedule)
     admission: AdmissionQueue = field(default_factory=AdmissionQueue)
+    capacity: CapacityState = field(default_factory=CapacityState)
 
 
 def voters_of(ctx):
@@ -78,7 +82,7 @@
     if session is None or session.incarnation != endpoint.member.incarnation:
         session = AgentSession(address, endpoint.member.incarnation, version, now - 1)
         sessions.agents[endpoint.member.name], sessions.summary = session, None
-    session.address = address
+    session.address, session.role, session.zone = address, endpoint.role, endpoint.zone
     return session
 
 
--- a/frostpost/cluster/assembly.py
+++ b/frostpost/cluster/assembly.py
@@ -36,6 +36,7 @@
         from . import replica_daemon
 
         context = replica_daemon.assemble(settings, reactor, machine, stop)
+        context.sessions.capacity.routing_from_body = front.routing_from_body
         return context, partial(replica_daemon.start, context), partial(replica_daemon.drain, context)
     from .agent import drain_agent, make_agent, start_agent
 
--- a/frostpost/cluster/scaling_policy.py
+++ b/frostpost/cluster/scaling_policy.py
@@ -45,7 +45,7 @@
 
     recent_slots: busy slots that demand has reached throughout the last seconds; None if it is not known. peak_slots:
     the most within the calm period; None unless nearly all agents reported throughout it. unchanged_ms: time since the
-    last order changed.
+    last order changed or was accepted. is_stable: whether the platform has all orders and the list is a recent one.
     """
 
     min_count: int
@@ -56,6 +56,7 @@
     recent_slots: float | None = None
     peak_slots: float | None = None
     unchanged_ms: int = 0
+    is_stable: bool = True
 
 
 class CapacityOrder(Struct, frozen=True):
@@ -101,7 +102,7 @@
 
 def missing_runners(view):
     """The number of ordered runners that should be listed by now and are not."""
-    if view.unchanged_ms < view.boot_ms + LIST_DELAY_MS:
+    if not view.is_stable or view.unchanged_ms < view.boot_ms + LIST_DELAY_MS:
         return 0
     return sum(max(0, zone.target - zone.listed) for zone in view.zones)
 
@@ -139,8 +140,8 @@
 
 
 def is_changing(view):
-    """Whether runners are being added, removed or replaced, so that the list doesn't show a steady state."""
-    return any(zone.draining or zone.listed != zone.target for zone in view.zones)
+    """Whether runners are being added, removed or replaced, or that isn't known."""
+    return not view.is_stable or any(zone.draining or zone.listed != zone.target for zone in view.zones)
 
 
 def demand_per_runner(demand, counts, zone):
--- a/frostpost/proxy/load_balancing.py
+++ b/frostpost/proxy/load_balancing.py
@@ -135,7 +135,7 @@
     sequence = agent.attachments["waiter"] = agent.attachments.get("waiter", 0) + 1
     waiter = Waiter(route.rank, sequence, until_ms, tuple(tried), salt, Deferred())
     queue.append(waiter)
-    service_demand.on_begun(agent, service.name)
+    service_demand.on_started(agent, service.name)
     return waiter.assigned
 
 
@@ -155,7 +155,7 @@
 def count_sent(agent, runner):
     """Count a request that is being sent to a runner."""
     load_of(agent, runner.id).own_requests += 1
-    service_demand.on_begun(agent, runner.service)
+    service_demand.on_started(agent, runner.service)
 
 
 def count_ended(agent, runner, outcome, head):
--- a/frostpost/proxy/service_demand.py
+++ b/frostpost/proxy/service_demand.py
@@ -7,7 +7,7 @@
 
 from frostpost.cluster.agent_context import now_ms
 from frostpost.cluster.list_reading import age_ms
-from frostpost.virtual_synchrony.demand_messages import ServiceDemand, ZoneCapacity
+from frostpost.virtual_synchrony.task_messages import ServiceDemand, ZoneCapacity
 
 
 class DemandMeter(Struct):
@@ -29,7 +29,7 @@
     return meter
 
 
-def on_begun(agent, service_name):
+def on_started(agent, service_name):
     """Count a request that is sent to a runner or begins to wait for one."""
     advance_meter(agent, service_name, 1)
 
@@ -69,6 +69,6 @@
         service_name,
         meter.busy_ms,
         now,
-        age_ms(agent.runner_list.last, now),
         zone_capacities(agent, service_name),
+        age_ms(agent.runner_list.last, now),
     )
--- a/frostpost/virtual_synchrony/task_messages.py
+++ b/frostpost/virtual_synchrony/task_messages.py
@@ -29,24 +29,26 @@
 
 
 class ZoneCapacity(Struct, frozen=True, array_like=True):
-    """The runners of a service in a zone that are not draining, as an agent's list shows them, and their slots."""
+    """A service's runners in a zone, as an agent's list shows them: those not draining, their slots, and the others."""
 
     zone: str
     runners: int
     slots: int
+    draining: int = 0
 
 
 class ServiceDemand(Struct, frozen=True, array_like=True):
-    """Demand on a service at one agent since its last report.
+    """Demand on a service at one agent, counted from the start of its process, so that a lost report does no harm.
 
-    busy_ms: time integral of the requests in flight at runners and of those that waited for a slot. elapsed_ms: the
-    time that it covers.
+    busy_ms: time integral of the requests in flight at runners and of those that waited for a slot. measured_ms: when
+    it was measured, on the agent's clock. list_age_ms: age of the list that `zones` are from; -1 if none was read.
     """
 
     service: str
     busy_ms: int
-    elapsed_ms: int
+    measured_ms: int
     zones: tuple[ZoneCapacity, ...] = ()
+    list_age_ms: int = -1
 
 
 class UsageReport(Struct, frozen=True, array_like=True, tag=42):
