--- a/frostpost/cluster/agent_context.py
+++ b/frostpost/cluster/agent_context.py
@@ -10,7 +10,7 @@
     """All mutable state of an agent; made by `agent.make_agent` and used only on the event loop's thread.
 
     Each module keeps its state in a field of its own: `session` belongs to lease_client, `operations` to
-    operation_client, `body_client` to turn_store, `pools`, `loads`, `slot_overheads` and
+    operation_client, `usage` to usage_reports, `body_client` to turn_store, `pools`, `loads`, `slot_overheads` and
     `demand_meters` to proxy. `attachments` holds further objects by name.
     """
 
@@ -49,6 +49,7 @@
         "slot_overheads",
         "runner_list",
         "demand_meters",
+        "usage",
     )
 
     def __init__(self, settings, reactor, endpoint, machine=MACHINE):
@@ -59,6 +60,7 @@
         self.draining, self.requests_in_flight, self.open_requests, self.tasks = False, 0, 0, []
         self.hooks, self.operations, self.ticker, self.sent_directories = TestHooks(), None, None, {}
         self.lease_waiters, self.slot_overheads, self.runner_list = [], {}, RunnerListState()
+        self.usage = None
         self.lifecycle, self.front, self.lag_ms, self.components, self.attachments = None, None, 0.0, {}, {}
         self.demand_meters = {}
 
--- a/frostpost/cluster/demand_history.py
+++ b/frostpost/cluster/demand_history.py
@@ -13,6 +13,8 @@
 # Demand counts as reached if it lasted throughout this time.
 SUSTAINED_MS = 2000
 TOTAL_INTERVAL_MS = 1000
+# Demand over a shorter time says little.
+MIN_MEASURED_MS = 500
 # A gap in the totals ends what they cover.
 MAX_GAP_MS = 3 * TOTAL_INTERVAL_MS
 RETENTION_MS = 600000
@@ -76,9 +78,9 @@
 
 
 def record_report(history, agent_name, demand, received_ms):
-    """Take an agent's report; one that was overtaken, or is the last one again, changes nothing."""
+    """Take an agent's report; the last one again, or one right after it, changes nothing."""
     sample = history.samples.get(agent_name)
-    if sample is not None and demand.measured_ms == sample.measured_ms:
+    if sample is not None and 0 <= demand.measured_ms - sample.measured_ms < MIN_MEASURED_MS:
         return
     has_restarted = sample is None or demand.busy_ms < sample.busy_ms or demand.measured_ms < sample.measured_ms
     busy_slots = None
--- a/tests/test_cluster_capacity_orders.py
+++ b/tests/test_cluster_capacity_orders.py
@@ -43,7 +43,9 @@
             self.renew(number)
 
     def renew(self, number):
-        self.sessions.agents[f"e{number}"] = AgentSession("@h:1", 1, 1, self.now_ms + 1200, "edge", "ab"[number % 2])
+        self.sessions.agents[f"e{number}"] = AgentSession(
+            "@h:1", 1, 1, self.now_ms + 1200, role="edge", zone="ab"[number % 2]
+        )
 
     def second(self, slots, silent=(), list_age_ms=0):
         """Let a second pass with this demand, all agents but the silent ones reporting. Returns the orders."""
--- a/tests/test_cluster_demand_history.py
+++ b/tests/test_cluster_demand_history.py
@@ -54,6 +54,16 @@
     assert history.samples["e1"].received_ms == 2000
 
 
+def test_report_right_after_another_is_left_to_the_next_one():
+    history = ServiceHistory()
+    report(history, 0, 1000)
+    report(history, 3000, 2000)
+    report(history, 3900, 2010)
+    assert busy_slots(history) == 3.0
+    report(history, 4000, 3000)
+    assert busy_slots(history) == 1.0
+
+
 def test_restart_of_an_agent_begins_anew():
     history = ServiceHistory()
     report(history, 8000, 1000)
