--- a/frostpost/cluster/agent_sessions.py
+++ b/frostpost/cluster/agent_sessions.py
@@ -18,6 +18,7 @@
 
 from . import list_reading, task_server
 from .admission_queue import AdmissionQueue
+from .demand_history import CapacityState
 from .fleet_time import FleetClock
 from .leadership import is_sequencer
 from .lease_client import RENEWALS_PER_LEASE
@@ -44,6 +45,8 @@
     routing_version: int
     until_ms: int
     wall_offset_ms: int | None = None
+    role: str = ""
+    zone: str = ""
 
 
 class LeaseSummary(Struct, frozen=True):
@@ -60,7 +63,7 @@
     routing_since_ms: when the current routing took effect here. draining: runners reported as draining, with the time
     at which the report expires. newest_list: the latest reading of the runner list that any agent reported. list_polls:
     which agent reads it next. summary: cached; None once an agent changed its routing version or incarnation or got a
-    new lease. settings: those of this daemon. fleet_clock, tasks, usage: see their modules.
+    new lease. settings: those of this daemon. fleet_clock, tasks, usage, capacity: see their modules.
     """
 
     agents: dict[str, AgentSession] = {}
@@ -76,6 +79,7 @@
     fleet_clock: FleetClock = field(default_factory=FleetClock)
     tasks: TaskSchedule = field(default_factory=TaskSchedule)
     usage: UsageCollection = field(default_factory=UsageCollection)
+    capacity: CapacityState = field(default_factory=CapacityState)
 
 
 def voters_of(ctx):
@@ -91,7 +95,7 @@
     if session is None or session.incarnation != endpoint.member.incarnation:
         session = AgentSession(address, endpoint.member.incarnation, version, now - 1)
         sessions.agents[endpoint.member.name], sessions.summary = session, None
-    session.address = address
+    session.address, session.role, session.zone = address, endpoint.role, endpoint.zone
     return session
 
 
