--- a/tests/test_platform_tasks.py
+++ b/tests/test_platform_tasks.py
@@ -3,8 +3,6 @@
 import pytest
 import task_platform as platforms
 
-from frostpost.cluster import agent_sessions
-
 
 @pytest.fixture(autouse=True)
 def wanted():
