Test of a stale PATCH follows the documented retry of 503 answers

What callers saw: on a loaded machine the stale PATCH through e2 got 503 in place of 412.

Cause: the test, not the daemon. availability_error() in http_api/control.py answers 503 NoPrimary while the daemon holds no lease, as docs/api.md lists it ("did it run: no; retry: yes, elsewhere or later"): such a daemon can't know which version is current. On a loaded machine the daemons miss heartbeats and change the configuration. Seen in the logs of one case: configuration 12 without e1 was installed at e2 6 ms before the stale PATCH came and had not been opened yet; e1 had its change acknowledged in configuration 11, 4 ms after that. 150 ms later configuration 13 with all was installed.

Evidence, old test alone, real processes: 3 runs with all output at a load near 25: one 503 NoPrimary for 412, one 412 for 200 (`admin apply` had failed unnoticed, so there was no document), one passed. 12 runs beside 6 busy processes, load 9 to 27: 5 failed (4 KeyError 'version', 1 KeyError 'document', not told apart further). A loop of 100 pairs of PATCHes at load 18 to 22 gave 4 pairs with a 503, each NoPrimary.

Change: the test repeats a call, and the command `admin apply`, only while the answer is NoPrimary or ConfigChanging, for 20 s at most, and then asks for exactly the same answers as before; a failed `apply` now fails the test.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,6 +10,7 @@
 pytestmark = pytest.mark.xdist_group("operators")
 TURNS = "/v1/tenants/hlidar/routes/check/turns"
 LOOKUPS = "/v1/tenants/hlidar/routes/claims/lookups"
+NOTHING_WAS_RUN, LEASE_WAIT_S = ("NoPrimary", "ConfigChanging"), 20
 
 
 @pytest.fixture(scope="module")
@@ -46,6 +47,30 @@
     return run_command(fleet, "admin", *arguments, daemon=daemon)
 
 
+def call_until_served(fleet, *arguments, **options):
+    """Repeat a call while its answer is a 503 after which docs/api.md promises that nothing was run."""
+    answers = []
+
+    def is_served():
+        status, reply = fleets.call(fleet, *arguments, **options)
+        answers.append((status, reply))
+        return status != 503 or reply["error"]["type"] not in NOTHING_WAS_RUN
+
+    assert fleets.wait_for(is_served, LEASE_WAIT_S), answers[-1]
+    return answers[-1]
+
+
+def apply_until_served(fleet, folder):
+    """Repeat the command `admin apply` while it ends with one of these errors; any other failure fails the test."""
+    results = []
+
+    def is_served():
+        results.append(run_admin(fleet, "apply", folder))
+        return not any(f"\n{name}: " in f"\n{results[-1].stderr}" for name in NOTHING_WAS_RUN)
+
+    assert fleets.wait_for(is_served, LEASE_WAIT_S) and results[-1].returncode == 0, results[-1].stderr
+
+
 def test_apply_changes_nothing_when_repeated(fleet, folder):
     assert run_admin(fleet, "diff", folder).returncode == 1
     first = run_admin(fleet, "apply", folder)
@@ -56,18 +81,18 @@
 
 
 def test_patch_changes_one_parameter_and_a_stale_patch_is_refused(fleet, folder):
-    run_admin(fleet, "apply", folder)
+    apply_until_served(fleet, folder)
     path = "/v1/config/tenants/tamar"
-    status, reply = fleets.call(
+    status, reply = call_until_served(
         fleet, "e1", path, "PATCH", {"parameters": {"retention_ms": 700000}}, headers={"if-match": '"1"'}
     )
     assert (status, reply["version"]) == (200, 2)
-    status, reply = fleets.call(
+    status, reply = call_until_served(
         fleet, "e2", path, "PATCH", {"parameters": {"retention_ms": 800000}}, headers={"if-match": '"1"'}
     )
     assert (status, reply["error"]["type"]) == (412, "ConfigMoved")
     for name in fleet.daemons:
-        config = fleets.call(fleet, name, path)[1]
+        config = call_until_served(fleet, name, path)[1]
         assert (
             config["document"]["parameters"] == {"retention_ms": 700000}
             and config["document"]["template"] == "kitchens"
