--- a/tests/fleet_simulator/crowd.py
+++ b/tests/fleet_simulator/crowd.py
@@ -142,13 +142,17 @@
             yield self.pause(self.random.uniform(0.1, 0.4))
         return None
 
+    def new_key(self):
+        """Return an operation key that was not used before."""
+        return f"k{self.random.getrandbits(40):x}"
+
     @inlineCallbacks
     def tool(self, zone, program):
         """Call a random tool; sometimes repeat a call with an operation key within or after its window."""
         path = self.random.choice(("/safe/a?q=1", "/unsafe/b", "/keyed/c", "/keyed/c", "/free/d", "/moved/e"))
         more = {}
         if path.startswith("/keyed"):
-            more = {"key": f"k{self.random.getrandbits(40):x}", "body": b"once"}
+            more = {"key": self.new_key(), "body": b"once"}
         if path.startswith("/free"):
             more = {"most": MOST_TOKENS}
         request = yield self.send_with_retries(zone, path, program, 3 if "key" in more else 2, **more)
--- a/tests/fleet_simulator/judge.py
+++ b/tests/fleet_simulator/judge.py
@@ -17,6 +17,12 @@
     return uri[: uri.find("/", 1) + 1]
 
 
+def tenant_of(tries, name):
+    """Return the tenant of the named request, empty if it has none."""
+    request = tries.get(name)
+    return "" if request is None else request.tenant
+
+
 def is_repeatable(request):
     return request.kind == "safe" or request.uri.startswith(RESUMABLE_PREFIX)
 
@@ -57,8 +63,8 @@
     runs_by_key = defaultdict(list)
     for run in world.notes.runs:
         if run.key:
-            runs_by_key[run.key].append(run)
-    for key, runs in runs_by_key.items():
+            runs_by_key[tenant_of(tries, run.try_id), run.key].append(run)
+    for (_, key), runs in runs_by_key.items():
         for first, second in pairwise(runs):
             original = tries.get(first.try_id)
             if original is not None and first.try_id != second.try_id and second.at_ms < original.sent_ms + window_ms:
@@ -120,7 +126,12 @@
         if not request.seal:
             continue
         run = runs_by_seal.get(request.seal)
-        matches = run is not None and (run.try_id == request.try_id or request.key and run.key == request.key)
+        matches = run is not None and (
+            run.try_id == request.try_id
+            or request.key
+            and run.key == request.key
+            and tenant_of(tries, run.try_id) == request.tenant
+        )
         if not matches or run.status != request.status:
             yield Violation(
                 "MIXED",
@@ -142,11 +153,13 @@
     spent, limits = defaultdict(int), {}
     for request in tries.values():
         if request.budget:
-            spent[request.program] += len(events_of(request.got)[0]) * EVENT_TOKENS if request.status == 200 else 0
-            limits[request.program] = request.budget + request.most
-    for program, tokens in spent.items():
-        if tokens > limits[program]:
-            yield Violation("BUDGET", f"{program} received {tokens} tokens, limit {limits[program]}")
+            spent[request.tenant, request.program] += (
+                len(events_of(request.got)[0]) * EVENT_TOKENS if request.status == 200 else 0
+            )
+            limits[request.tenant, request.program] = request.budget + request.most
+    for (tenant, program), tokens in spent.items():
+        if tokens > limits[tenant, program]:
+            yield Violation("BUDGET", f"{program} received {tokens} tokens, limit {limits[tenant, program]}")
 
 
 def session_transcript(tries, name):
@@ -168,6 +181,9 @@
         if request is None or (run.method, run.uri) != (request.method, request.uri):
             yield Violation("UNASKED", f"{run.try_id} {run.uri} at {run.runner}")
             continue
+        if request.previous and tenant_of(tries, request.previous) != request.tenant:
+            yield Violation("UNASKED", f"{run.try_id} of {request.tenant} continued {request.previous}")
+            continue
         history = session_transcript(tries, request.previous)
         if history is None or run.body != history + request.body or run.previous != request.previous:
             yield Violation(
@@ -184,6 +200,8 @@
         if request.status not in (404, 410) or not request.uri.startswith("/chat/"):
             continue
         predecessor = tries.get(request.previous)
+        if predecessor is not None and predecessor.tenant != request.tenant:
+            continue
         if predecessor is None:
             yield Violation("DENIED", f"{request.try_id} {request.uri} got {request.status} {request.got[:80]!r}")
         elif request.ended_ms - predecessor.ended_ms < retention_ms:
--- a/tests/fleet_simulator/notes.py
+++ b/tests/fleet_simulator/notes.py
@@ -41,6 +41,7 @@
     budget: int = 0
     most: int = 0
     last_event: str = ""
+    tenant: str = ""
 
 
 class Run(Struct):
--- a/tests/fleet_simulator/play.py
+++ b/tests/fleet_simulator/play.py
@@ -17,6 +17,7 @@
 from .linearizability import linearizable
 from .notes import Violation
 from .stage import await_, crowd_of, open_, probe, settle
+from .tenants import wrong_tenants
 
 STORM_MS = 16000
 ODDS = {"lose": 0.02, "cut": 0.03, "surplus": 0.02, "noise": 0.01, "fail": 0.01, "silent": 0.01}
@@ -96,6 +97,7 @@
         *judge.mismatched_responses(world, runs_of, tries),
         *judge.budget_overruns(tries),
         *judge.unsolicited_executions(world, tries),
+        *wrong_tenants(world, tries),
         *judge.lost_sessions(world, tries),
         *judge.dispatches_after_drain(world, tries),
         *judge.interrupted_requests(world, runs_of, tries),
@@ -109,9 +111,22 @@
 
 
 def play(
-    seed, shape=None, kinds=None, storm_ms=STORM_MS, gap_ms=2500, closing=None, load_ms=150, odds=ODDS, prepare=None
+    seed,
+    shape=None,
+    kinds=None,
+    storm_ms=STORM_MS,
+    gap_ms=2500,
+    closing=None,
+    load_ms=150,
+    odds=ODDS,
+    prepare=None,
+    document=None,
+    make_crowd=crowd_of,
 ):
-    """Simulate a day. Returns (world, Report). closing: power, kill, wipe or none; by default drawn from the seed."""
+    """Simulate a day. Returns (world, Report).
+
+    closing: power, kill, wipe or none; by default drawn from the seed. document: the first configuration.
+    """
     failures, trace, broken = [], [], []
 
     def observe(event):
@@ -120,13 +135,13 @@
 
     log.addObserver(observe)
     try:
-        world, operators, status, took_ms = open_(seed, shape, prepare)
+        world, operators, status, took_ms = open_(seed, shape, prepare, document=document)
         if status != 200 or took_ms < 0:
             broken.append(Violation("FOUND", f"first configuration {status}, all ready after {took_ms}"))
         random = Random(seed * 7919 + 1)
         for runner in world.runners.values():
             runner.odds = dict(odds)
-        crowd, from_ms = crowd_of(world, "c"), world.now_ms()
+        crowd, from_ms = make_crowd(world, "c"), world.now_ms()
         world.operators, world.crowd, world.changes_until_ms = operators, crowd, from_ms + storm_ms
         monitor = LeaseMonitor(world)
         monitor.watch()
