Log when a daemon serves by a version, how a change ended, and which turn a refused one continues

`routing` (version) is logged by each edge and core daemon once it has decoded a version, `configuration_change` (operation, issue, base, status, took_ms) by the core daemon that answered, and `request_not_served` and the trace line of a request name the turn that it continues. No content of a document is logged, as it may hold credentials.

tests/test_proxy_wait_policy.py compares the whole record: it now also holds the new field, with a value that only the request gives.

--- a/frostpost/cluster/attempt_tracing.py
+++ b/frostpost/cluster/attempt_tracing.py
@@ -36,7 +36,15 @@
 def trace_request(agent, call, request):
     """Log the start of a client's request, and its status and duration when it ends."""
     started_ms, previous_callback = now_ms(agent), request.on_finished
-    log_event("trace", attempt=call.attempt, at="taken", host=call.host, program=call.program, key=call.key)
+    log_event(
+        "trace",
+        attempt=call.attempt,
+        at="taken",
+        host=call.host,
+        program=call.program,
+        key=call.key,
+        previous=call.previous_turn,
+    )
 
     def on_finished(lost):
         log_event(
--- a/frostpost/cluster/lease_client.py
+++ b/frostpost/cluster/lease_client.py
@@ -231,4 +231,5 @@
     routing = agent.attachments["routing_from_body"](message.body)
     agent.routing, agent.routing_body, session.routing_version = routing, message.body, message.version
     count(agent, "routings")
+    log_event("routing", version=message.version)
     send_lease_requests(agent)
--- a/frostpost/platform/control.py
+++ b/frostpost/platform/control.py
@@ -12,6 +12,7 @@
 from msgspec import Struct, json
 from twisted.internet.defer import inlineCallbacks
 
+from frostpost.cluster.agent_context import now_ms
 from frostpost.daemon.structured_log import log_event
 from frostpost.proxy.failures import Unavailable
 from frostpost.proxy.models import ClientBounds
@@ -147,7 +148,7 @@
 @inlineCallbacks
 def handle_change(agent, request, kind):
     """Handle a change of the configuration; `kind` is "replace" or "modify"."""
-    deadlines = call_deadlines(agent, len(request.body))
+    started_ms, deadlines = now_ms(agent), call_deadlines(agent, len(request.body))
     change = parse_routing_change(request, kind)
     if change.is_error():
         reply_error(request, 400, change.error)
@@ -159,6 +160,14 @@
         reply_unavailable(request, result.error.error)
     else:
         reply_error(request, result.error.status, result.error.error)
+    log_change(kind, change.ok, 200 if result.is_ok() else result.error.status, now_ms(agent) - started_ms)
+
+
+def log_change(kind, change, status, took_ms):
+    """Log the outcome of a change; its content is not logged, as it may hold credentials."""
+    log_event(
+        "configuration_change", operation=kind, issue=change.issue, base=change.base, status=status, took_ms=took_ms
+    )
 
 
 @inlineCallbacks
--- a/frostpost/proxy/decision_record.py
+++ b/frostpost/proxy/decision_record.py
@@ -16,7 +16,8 @@
 
     route: route name, empty if none matched. outcome: type name of the failure, or "Aborted" for a response that was
     cut off. why: the reason given by the failure. elapsed_ms: time since arrival. lease_ms, order_ms, slot_ms: the
-    parts of it spent waiting for a lease, for a ledger decision and for a runner slot, in milliseconds.
+    parts of it spent waiting for a lease, for a ledger decision and for a runner slot, in milliseconds. previous: the
+    attempt id of the turn that the request continues, empty if none.
     """
 
     attempt: str
@@ -28,6 +29,7 @@
     lease_ms: int
     order_ms: int
     slot_ms: int
+    previous: str = ""
 
 
 class RequestObserver:
@@ -70,5 +72,6 @@
             call.delays.lease_ms,
             call.delays.order_ms,
             call.delays.slot_ms,
+            call.previous_turn,
         )
         log_event("request_not_served", **structs.asdict(record))
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -243,3 +243,15 @@
         ("GET", ""),
     ):
         assert send(method, operation)[0] == 404
+
+
+def test_change_is_logged_with_its_outcome_and_without_its_content(client, monkeypatch):
+    logged = []
+    monkeypatch.setattr(control, "log_event", lambda event, **fields: logged.append((event, fields)))
+    replace(config(7, odd="secret"), 0)
+    replace(config(9), 0)
+    assert [(event, fields["status"]) for event, fields in logged] == [
+        ("configuration_change", 200),
+        ("configuration_change", 412),
+    ]
+    assert logged[0][1] == dict(operation="replace", issue=7, base=0, status=200, took_ms=0)
--- a/tests/test_proxy_wait_policy.py
+++ b/tests/test_proxy_wait_policy.py
@@ -185,7 +185,7 @@
     monkeypatch.setattr(decision_record, "log_event", lambda event, **fields: logged.append((event, fields)))
     harness = make_harness(monkeypatch)
     harness.has_lease = False
-    harness.serve(deadline_ms=1000, program="g")
+    harness.serve(deadline_ms=1000, program="g", previous_turn="a0")
     harness.reactor.advance(0.4)
     harness.has_lease = True
     harness.serve(host="other")
@@ -202,6 +202,7 @@
         lease_ms=400,
         order_ms=0,
         slot_ms=0,
+        previous="a0",
     )
     assert harness.agent.counts["not_served/Unavailable/lease"] == 1 and harness.agent.counts["not_served/NoRoute"] == 1
 
