Failing tests: credentials at an edge that is cut off, and a series of removals while leaders are killed

These two hold what a check must keep when changes and faults meet: an edge without a lease decides nothing about a credential by its old version (503, never 401 for one that was added nor a run with one that was removed), and each of six removals is in force at every edge though the leader was killed after every other.

--- a/tests/test_fleet_simulator_credentials.py
+++ b/tests/test_fleet_simulator_credentials.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from fleet_simulator import stage
+from fleet_simulator import cuts, stage
 from fleet_simulator import world as worlds
 from fleet_simulator.crowd import Crowd
 from fleet_simulator.notes import Version
@@ -12,6 +12,7 @@
 
 UNTIL_MS = 1e12
 RESPONSE_WAIT_MS = 3000
+CUT_MS = 20000
 TENANTS = [
     {"name": f"t{number}", "credentials": [f"secret-{number}-a", f"secret-{number}-b"], "precedence": 1}
     for number in range(24)
@@ -71,23 +72,22 @@
         assert stage.settle(self.world, 15000) >= 0
         self.applied_ms = max(self.applied_ms, self.world.now_ms() + self.world.notes.sheet["contact"])
 
-    def statuses(self, credential, path="/safe/a", headers=()):
+    def statuses(self, credential, path="/safe/a", edges=()):
         """Send a request with a credential to each edge once the last change is due. Returns the statuses."""
         world = self.world
         world.run(max(world.now_ms(), self.applied_ms))
-        tries = [self.request(edge, credential, path, headers) for edge in world.of("edge")]
+        tries = [self.request(edge, credential, path) for edge in edges or world.of("edge")]
         world.run(world.now_ms() + RESPONSE_WAIT_MS)
         self.tries = {request.try_id for request in tries}
         return {request.status for request in tries}
 
-    def request(self, edge, credential, path, headers):
+    def request(self, edge, credential, path):
         host, world = edge.host, self.world
         crowd = Crowd(
             world.callers, world.notes, Random(1), lambda _: [(host.address, worlds.FRONT)], world.zones, edge.name
         )
         request = crowd.make(path, "")
         request.try_id += str(len(world.notes.tries))
-        request.headers += headers
         if credential is not None:
             request.headers.append((b"Authorization", b"Bearer " + credential.encode()))
         crowd.once(edge.zone, request, fresh=True)
@@ -161,3 +161,29 @@
     assert deployment.modify(9, 5, remove=[item["name"] for item in TENANTS]) == 200
     assert deployment.statuses("secret-3-b") == {401} and deployment.statuses(None) == {401}
     assert deployment.statuses(None, "/open/a") == {200} and deployment.received[-1][2] is False
+
+
+def test_edge_that_was_cut_off_neither_refuses_an_added_credential_nor_serves_a_removed_one(deployment):
+    world, edge = deployment.world, deployment.world.of("edge")[:1]
+    cuts.cut(world, edge, CUT_MS)
+    assert deployment.modify(9, 5, [tenant("t5", "secret-5-b", "secret-5-c")]) == 200
+    for credential in ("secret-5-a", "secret-5-c"):
+        assert deployment.statuses(credential, edges=edge) == {503} and deployment.tenants_at_runners() == set()
+    deployment.applied_ms = world.now_ms() + CUT_MS + world.notes.sheet["contact"]
+    assert deployment.statuses("secret-5-c", edges=edge) == {200} and deployment.tenants_at_runners() == {("t5", False)}
+    assert deployment.statuses("secret-5-a", edges=edge) == {401} and deployment.tenants_at_runners() == set()
+
+
+def test_series_of_removed_credentials_is_in_force_after_the_leader_was_killed_between_them(deployment):
+    world, base, removed = deployment.world, 5, []
+    for number in range(6):
+        name, remaining = f"t{number}", f"secret-{number}-b"
+        assert deployment.modify(base + 2, base, [tenant(name, remaining)]) == 200
+        base, removed = base + 2, [*removed, f"secret-{number}-a"]
+        if number % 2 == 0:
+            replica = cuts.leader(world)
+            worlds.kill(world, replica)
+            world.later(1000, worlds.start, world, replica)
+    world.run(world.now_ms() + world.notes.sheet["contact"])
+    assert [deployment.statuses(credential) for credential in removed] == [{401}] * len(removed)
+    assert deployment.statuses("secret-0-b") == {200} and deployment.tenants_at_runners() == {("t0", False)}
