Tell tenants apart in every document that is taken or stored

Callers could see: a tenant whose name holds a line break added lines to a runner's request; two tenants shared an empty credential; a change with subscribers beside upsert was confirmed and had no effect; a body stored unread by an earlier build gave one credential to two tenants, or with null subscribers admitted everybody; on a keyless route a revoked credential changed a client's ids, so an operation ran again and a kept turn was 404.

Change: names are checked as header values, in the document and on admission; unknown members of a change are refused; stored bodies admit nobody by a shared credential, and null subscribers admit nobody; ids on keyless routes are the client's own. Trace lines name the attempt as the client sent it.

--- a/frostpost/cluster/attempt_tracing.py
+++ b/frostpost/cluster/attempt_tracing.py
@@ -1,6 +1,7 @@
 """Trace lines that follow one attempt through a daemon, if its settings enable them."""
 
 from frostpost.daemon.structured_log import log_event
+from frostpost.proxy.models import client_id_of
 
 from .agent_context import now_ms
 
@@ -15,7 +16,7 @@
     attempt, started_ms = getattr(op, "attempt", None), now_ms(agent)
     if attempt is None:
         return
-    operation = type(op).__name__
+    attempt, operation = client_id_of(attempt), type(op).__name__
     log_event("trace", attempt=attempt, at="handed in", operation=operation)
 
     def on_decided(result):
--- a/frostpost/platform/document_changes.py
+++ b/frostpost/platform/document_changes.py
@@ -12,8 +12,7 @@
         "upsert": {"type": "dict", "nullable": True, "valuesrules": {"type": ["list", "dict"]}},
         "remove": {"type": "dict", "nullable": True, "valuesrules": {"type": "list", "schema": {"type": "string"}}},
         "limits": {"type": "dict", "nullable": True},
-    },
-    allow_unknown=True,
+    }
 )
 
 
--- a/frostpost/platform/document_validation.py
+++ b/frostpost/platform/document_validation.py
@@ -3,6 +3,8 @@
 from cerberus import Validator
 from expression import Error, Ok
 
+from frostpost.proxy.credentials import is_tenant_name
+
 from .strict_json import RoutingInvalid
 
 MAX_ISSUE = (1 << 63) - 1
@@ -54,6 +56,14 @@
             yield RoutingInvalid(service.name, "boot-s must not be negative")
 
 
+def subscriber_errors(subscribers):
+    """Yield the errors of the tenants and their credentials."""
+    if not all(is_tenant_name(item.name) for item in subscribers):
+        yield RoutingInvalid("subscribers", "a name is empty or holds characters that no header may")
+    if first_duplicate(credential for item in subscribers for credential in set(item.credentials)) is not None:
+        yield RoutingInvalid("subscribers", "two subscribers have the same credential")
+
+
 def document_errors(document):
     """Yield the semantic errors of a document that matches the schema."""
     routes, services = document.route_table, document.service_table
@@ -67,8 +77,7 @@
             yield RoutingInvalid(name, "two items have the same name")
     if first_duplicate((route.host.lower(), route.path_prefix) for route in routes) is not None:
         yield RoutingInvalid("route-table", "two routes have the same host and prefix")
-    if first_duplicate(credential for item in document.subscribers or () for credential in set(item.credentials)):
-        yield RoutingInvalid("subscribers", "two subscribers have the same credential")
+    yield from subscriber_errors(document.subscribers or ())
     for route in routes:
         weights = route_weights(route)
         if not route.guard_ms > 0:
--- a/frostpost/platform/documents.py
+++ b/frostpost/platform/documents.py
@@ -1,6 +1,6 @@
 """The fields of a configuration document that this software interprets; others are preserved."""
 
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 
 class TargetShare(Struct):
@@ -27,7 +27,7 @@
     retention_s: float | None = None
     resumable: bool | None = None
     gap_target_ms: float | None = None
-    keyless: bool = False
+    keyless: bool | None = None
 
 
 class Engine(Struct, rename="kebab"):
@@ -80,4 +80,4 @@
     route_table: list[RouteItem] = field(default_factory=list)
     service_table: list[ServiceItem] = field(default_factory=list)
     limits: BoundsItem | None = None
-    subscribers: list[SubscriberItem] | None = None
+    subscribers: list[SubscriberItem] | None | UnsetType = UNSET
--- a/frostpost/platform/routing.py
+++ b/frostpost/platform/routing.py
@@ -1,11 +1,12 @@
 """Converts the platform's configuration document into `Routing` and into the body that is stored."""
 
 import json
+from collections import Counter
 from hashlib import sha256
 
 import msgspec
 from expression import Error, Ok
-from msgspec import Raw, Struct
+from msgspec import UNSET, Raw, Struct
 
 from frostpost.proxy.credentials import credential_digest
 from frostpost.proxy.models import ClientBounds, Route, Routing, ScalingBounds, Service, Tenant
@@ -53,7 +54,7 @@
         retention_ms=to_milliseconds((item.retention_s or 0) * 1000),
         resumable=bool(item.resumable),
         max_event_gap_ms=to_milliseconds(item.gap_target_ms),
-        is_keyless=item.keyless,
+        is_keyless=bool(item.keyless),
     )
 
 
@@ -79,13 +80,18 @@
 
 
 def build_tenants(subscribers):
-    """Return the tenants by digest of their credentials, or None if the document has no subscribers."""
-    if subscribers is None:
+    """Return the tenants by digest of their credentials, or None if the document has no subscribers.
+
+    A document that an earlier build has stored unread may give one credential to two tenants; it admits neither.
+    """
+    if subscribers is UNSET:
         return None
+    holders = Counter(credential for item in subscribers or () for credential in set(item.credentials))
     return {
         credential_digest(credential.encode()): Tenant(item.name, build_rank(item.precedence))
-        for item in subscribers
+        for item in subscribers or ()
         for credential in item.credentials
+        if holders[credential] == 1
     }
 
 
--- a/frostpost/proxy/credentials.py
+++ b/frostpost/proxy/credentials.py
@@ -1,5 +1,6 @@
 """Credentials of clients: a request is admitted on behalf of the tenant that holds its credential."""
 
+import re
 from hashlib import sha256
 
 from msgspec import structs
@@ -10,6 +11,13 @@
 # Ranks of routes lie below this, so that the rank of the tenant is compared first.
 RANKS_PER_TENANT_RANK = 1 << 16
 NO_TENANT = Tenant("")
+# What a header value may hold, so that a name neither adds a line to a request nor reads as another name.
+TENANT_NAME = re.compile(r"[^\x00-\x20\x7f-\xa0](?:[^\x00-\x1f\x7f-\x9f]*[^\x00-\x20\x7f-\xa0])?")
+
+
+def is_tenant_name(name):
+    """Return whether a name can be sent to a runner as a header value."""
+    return TENANT_NAME.fullmatch(name) is not None
 
 
 def credential_digest(credential):
@@ -25,7 +33,7 @@
     if routing.tenants is None:
         return NO_TENANT
     tenant = routing.tenants.get(call.credential)
-    if tenant is None:
+    if tenant is None or not is_tenant_name(tenant.name):
         return NO_TENANT if route.is_keyless else InvalidCredential()
     return tenant
 
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -91,12 +91,17 @@
     draining: bool = False
 
 
-def scoped_id(tenant, client_id):
+def scoped_id(scope, client_id):
     """Return a client's id qualified by its tenant, so that equal ids of two tenants differ.
 
-    Ids come from header values, which contain no line feed; without a tenant the id is returned unchanged.
+    Ids come from header values, which contain no line feed; without a scope the id is returned unchanged.
     """
-    return f"{tenant}\n{client_id}" if tenant else client_id
+    return f"{scope}\n{client_id}" if scope else client_id
+
+
+def client_id_of(ledger_id):
+    """Return the id as the client sent it; the inverse of `scoped_id`."""
+    return ledger_id.rpartition("\n")[2]
 
 
 class Delays(Struct):
@@ -110,8 +115,8 @@
 class Call(Struct):
     """A client request. uri: path and query as received. headers: those to forward, in order.
 
-    credential: digest of the client's credential, empty if there is none. tenant: name of the tenant that holds it, set
-    on admission.
+    credential: digest of the client's credential, empty if there is none. tenant: name of the tenant that holds it, and
+    id_scope: the tenant whose ids the request uses, both set on admission.
     """
 
     attempt: str
@@ -134,27 +139,28 @@
     last_event_id: str = ""
     credential: str = ""
     tenant: str = ""
+    id_scope: str = ""
     delays: Delays = field(default_factory=Delays)
 
     @property
     def ledger_attempt(self):
         """The attempt id by which the ledger and the turn store know this request."""
-        return scoped_id(self.tenant, self.attempt)
+        return scoped_id(self.id_scope, self.attempt)
 
     @property
     def ledger_program(self):
         """The program id by which the ledger keeps this request's budget."""
-        return scoped_id(self.tenant, self.program or self.attempt)
+        return scoped_id(self.id_scope, self.program or self.attempt)
 
     @property
     def ledger_previous_turn(self):
         """The ledger's id of the turn that this request follows, empty if there is none."""
-        return scoped_id(self.tenant, self.previous_turn) if self.previous_turn else ""
+        return scoped_id(self.id_scope, self.previous_turn) if self.previous_turn else ""
 
     @property
     def ledger_key(self):
         """The operation key by which the ledger records this request's answer."""
-        return scoped_id(self.tenant, f"{self.host}|{self.key}")
+        return scoped_id(self.id_scope, f"{self.host}|{self.key}")
 
 
 class RunnerHead(Struct, frozen=True):
--- a/frostpost/proxy/serve.py
+++ b/frostpost/proxy/serve.py
@@ -107,6 +107,8 @@
         if not isinstance(admitted, Admitted):
             return deliver(agent, admitted, sink)
         route, call.tenant = admitted.route, admitted.tenant.name
+        # On a keyless route a client keeps its ids when its credential changes.
+        call.id_scope = "" if route.is_keyless else call.tenant
         observer.route = route.name
         yield HANDLERS[route.kind](agent, route, admitted.service, call, sink, admitted.until_ms, watcher)
     finally:
