Hand a task over after one call without an answer

Seen in the fleet simulator: a daemon cut off from the platform was offered its task a second time, which extended its lease, and the window's report came 0.4 s late once another daemon had it. Each claim extends the wait of the others, so the first call without an answer hands the task over. An answer that refuses (429, 5xx) doesn't, since others would fare no better.

--- a/frostpost/cluster/task_schedule.py
+++ b/frostpost/cluster/task_schedule.py
@@ -20,8 +20,9 @@
 # Share of the platform's rate of such calls that offers may use.
 RATE_RATIO = 0.5
 MIN_BACKOFF_MS, MAX_BACKOFF_MS = 250, 4000
-# Calls of one agent that get no answer after which the task is offered to others.
-MAX_UNANSWERED = 2
+# Calls of one agent for a task that get no answer, after which the task is offered to others. Each call extends the
+# lease for which the others have to wait.
+MAX_UNANSWERED = 1
 
 
 class Offer(Struct):
