--- a/frostpost/cluster/usage_reports.py
+++ b/frostpost/cluster/usage_reports.py
@@ -19,8 +19,8 @@
 class UsageCounter(Struct):
     """Counts by window and tenant.
 
-    changed: windows with counts since the last report, which has `number`. sent: windows in it, until the leader replies.
-    leader: the sequencer and epoch that the last report went to. closed: as in the last lease reply.
+    changed: windows with counts since the last report, which has `number`. sent: windows in it, until the leader has
+    replied. leader: the sequencer and epoch that the last report went to. closed: as in the last lease reply.
     """
 
     windows: dict[int, dict[str, int]] = {}
