Sum the usage of a window as reports come in

Closing a window summed the counts of all agents at once: 74 ms of wall time on a busy machine for 314 agents with 82 tenants each, during which the leader does nothing else.

--- a/frostpost/cluster/usage_collection.py
+++ b/frostpost/cluster/usage_collection.py
@@ -4,8 +4,6 @@
 until the agents have sent theirs again. Closing a window fixes its counts in the ledger (`program_ledger.task_leases`).
 """
 
-from collections import Counter
-
 from msgspec import Struct
 
 from frostpost.daemon.event_loop import submit
@@ -28,13 +26,20 @@
     services: tuple[ServiceDemand, ...]
 
 
+class WindowCounts(Struct):
+    """Requests that began in a window, by process of an agent and tenant, and their sums by tenant."""
+
+    by_process: dict[Member, dict[str, int]] = {}
+    totals: dict[str, int] = {}
+
+
 class UsageCollection(Struct):
-    """counts: requests by window, process of an agent and tenant. demand: by name of the agent.
+    """counts: by window. demand: by name of the agent.
 
     is_submitting: whether an operation to close a window is pending.
     """
 
-    counts: dict[int, dict[Member, dict[str, int]]] = {}
+    counts: dict[int, WindowCounts] = {}
     demand: dict[str, AgentDemand] = {}
     is_submitting: bool = False
 
@@ -50,17 +55,21 @@
 
 def merge_counts(collection, member, usage):
     """Take over the greater of each count; a report that was overtaken by a later one changes nothing."""
-    counts = collection.counts.setdefault(usage.window, {}).setdefault(member, {})
+    window = collection.counts.get(usage.window)
+    if window is None:
+        window = collection.counts[usage.window] = WindowCounts()
+    counts, totals = window.by_process.setdefault(member, {}), window.totals
     for reported in usage.counts:
-        counts[reported.tenant] = max(reported.requests, counts.get(reported.tenant, 0))
+        increase = reported.requests - counts.get(reported.tenant, 0)
+        if increase > 0:
+            counts[reported.tenant] = reported.requests
+            totals[reported.tenant] = totals.get(reported.tenant, 0) + increase
 
 
 def window_totals(collection, window):
     """The counts of a window, summed over all agents."""
-    totals: Counter = Counter()
-    for counts in collection.counts.get(window, {}).values():
-        totals.update(counts)
-    return tenant_requests(totals)
+    counts = collection.counts.get(window)
+    return tenant_requests(counts.totals) if counts is not None else ()
 
 
 def next_window(collection, closed, current):
