--- a/frostpost/cluster/task_schedule.py
+++ b/frostpost/cluster/task_schedule.py
@@ -11,6 +11,7 @@
 from frostpost.program_ledger import task_leases
 from frostpost.virtual_synchrony.task_messages import TaskOffer
 
+SERVING_ROLE = "edge"
 # An agent that takes an offer owns the lease within this time; else the task is offered again.
 OFFER_MS = 1000
 # After this time without a renewal an agent counts as gone.
@@ -42,24 +43,32 @@
     unanswered: dict[str, int] = {}
 
 
+class TaskAgent(Struct, frozen=True):
+    """An agent that can run tasks: when it last renewed its lease, and whether it serves clients."""
+
+    renewed_ms: int
+    serves_clients: bool
+
+
 class TaskSchedule(Struct):
-    """Soft state of the leader. offers, backoffs: by key of the lease. renewed: when each agent that can run tasks did.
+    """Soft state of the leader. offers, backoffs: by key of the lease. agents: those that can run tasks, by name.
 
-    serves_clients: agents of them with clients. next_offer_ms: keeps the joint rate.
+    next_offer_ms: keeps the joint rate. last_renewed_ms: the last renewal of any of them. serving_only_ms: since when
+    only agents with clients have renewed.
     """
 
     offers: dict[str, Offer] = {}
     backoffs: dict[str, Backoff] = {}
-    renewed: dict[str, int] = {}
-    serves_clients: set[str] = set()
+    agents: dict[str, TaskAgent] = {}
     next_offer_ms: int = 0
-    no_other_since_ms: int | None = None
+    last_renewed_ms: int = 0
+    serving_only_ms: int = 0
 
 
 def offers_for(schedule, ledger, settings, endpoint, now_ms):
     """The tasks that are offered to an agent that can run tasks and renews its lease now, as a tuple of TaskOffer."""
     name, tasks = endpoint.member.name, ledger.program_ledger.tasks
-    record_renewal(schedule, name, endpoint.role, now_ms)
+    record_renewal(schedule, name, endpoint.role == SERVING_ROLE, now_ms)
     offered = []
     for kind, subject in task_leases.due_subjects(tasks):
         if now_ms < schedule.next_offer_ms:
@@ -77,18 +86,17 @@
     return tuple(offered)
 
 
-def record_renewal(schedule, name, role, now_ms):
-    """Record that an agent which can run tasks has renewed its lease."""
-    schedule.renewed[name] = now_ms
-    if role == "edge":
-        schedule.serves_clients.add(name)
-    for gone in [n for n, at_ms in schedule.renewed.items() if now_ms - at_ms > SERVING_AGENT_DELAY_MS]:
-        del schedule.renewed[gone]
-        schedule.serves_clients.discard(gone)
-    if schedule.renewed.keys() - schedule.serves_clients:
-        schedule.no_other_since_ms = None
-    elif schedule.no_other_since_ms is None:
-        schedule.no_other_since_ms = now_ms
+def record_renewal(schedule, name, serves_clients, now_ms):
+    """Record that an agent which can run tasks renews its lease."""
+    if not serves_clients or now_ms - schedule.last_renewed_ms > SERVING_AGENT_DELAY_MS:
+        schedule.serving_only_ms = now_ms
+    schedule.agents[name], schedule.last_renewed_ms = TaskAgent(now_ms, serves_clients), now_ms
+
+
+def present_agents(schedule, now_ms):
+    """Forget the agents that are gone, and return the names of all others."""
+    schedule.agents = {n: agent for n, agent in schedule.agents.items() if now_ms - agent.renewed_ms <= PRESENT_MS}
+    return set(schedule.agents)
 
 
 def may_offer(schedule, key, task, now_ms):
@@ -105,18 +113,16 @@
     """Whether this agent, of all that are present, is the one to be offered a task."""
     if lease is not None and lease.until_ms > ledger_ms and lease.owner != name:
         return False
-    present = {n for n, at_ms in schedule.renewed.items() if now_ms - at_ms <= PRESENT_MS}
-    backoff = schedule.backoffs.get(key)
+    present, backoff = present_agents(schedule, now_ms), schedule.backoffs.get(key)
     unanswered = backoff.unanswered if backoff is not None else {}
     reaching = {n for n in present if unanswered.get(n, 0) < MAX_UNANSWERED} or present
-    without_clients = reaching - schedule.serves_clients
+    without_clients = {n for n in reaching if not schedule.agents[n].serves_clients}
     if lease is not None and lease.owner in reaching and (lease.owner in without_clients or lease.until_ms > ledger_ms):
         return lease.owner == name
     if without_clients:
         return name in without_clients
-    since_ms = schedule.no_other_since_ms
-    waited = unanswered or since_ms is not None and now_ms - since_ms >= SERVING_AGENT_DELAY_MS
-    return bool(waited) and name in reaching
+    has_waited = now_ms - schedule.serving_only_ms >= SERVING_AGENT_DELAY_MS
+    return name in reaching and (has_waited or bool(unanswered))
 
 
 def on_failure(schedule, ledger, agent_name, message, now_ms):
