Count no usage where the platform wants only orders of runners

Found by reading: with scaling alone listed, agents counted windows that no leader ever closes, up to 720 of them, and reported them to each new leader.

--- a/frostpost/cluster/usage_reports.py
+++ b/frostpost/cluster/usage_reports.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from frostpost.program_ledger.task_messages import SCALING, USAGE
 from frostpost.virtual_synchrony.task_messages import TenantRequests, UsageReport, WindowUsage
 
 from .agent_context import count, now_ms
@@ -46,6 +47,8 @@
 
 def add_request(agent, tenant, started_ms):
     """Count a request of a tenant that began to run at a time of this agent's monotonic clock."""
+    if USAGE not in agent.settings.platform_tasks:
+        return
     counter, window = counter_of(agent), window_at(agent, started_ms)
     if window <= counter.closed:
         count(agent, "usage_late")
@@ -107,7 +110,7 @@
     """Send the windows that the leader may not know, and the demand on the services."""
     counter, now = counter_of(agent), now_ms(agent)
     counter.sent_ms = now
-    if counter.closed == 0 and not counter.windows:
+    if USAGE in agent.settings.platform_tasks and counter.closed == 0 and not counter.windows:
         open_first_window(agent, counter)
     demand = service_demand(agent)
     counter.sent |= counter.changed
@@ -131,7 +134,7 @@
 def service_demand(agent):
     """The demand on the services since the last report; empty unless the platform lets daemons order runners."""
     measure = agent.attachments.get("service_demand")
-    return measure() if measure is not None and "scaling" in agent.settings.platform_tasks else ()
+    return measure() if measure is not None and SCALING in agent.settings.platform_tasks else ()
 
 
 def tenant_requests(counts):
