Tell the fleet's time only once all agents had time to send theirs

Found by reading: after a change of the leader the median was taken over the few agents that had renewed by then, so one clock that is off by seconds moved the windows of those agents until the next renewals. For one lease after a change of the configuration the leader now tells no time, and agents keep what they have.

--- a/frostpost/cluster/task_server.py
+++ b/frostpost/cluster/task_server.py
@@ -35,10 +35,16 @@
 
 
 def fleet_time_ms(ctx, sessions, session, message, now):
-    """Record the time of day that an agent sent, and return the fleet's; 0 if it sent none."""
+    """Record the time of day that an agent sent, and return the fleet's.
+
+    Returns 0 if the agent sent none, and until the agents have had time to send theirs to a new leader: the median of
+    the first few may be far off.
+    """
     if not message.wall_ms:
         return 0
     session.wall_offset_ms = message.wall_ms - now
+    if now - ctx.core.synchrony.installed_ms < ctx.core.synchrony.bounds.lease_ms:
+        return 0
     return fleet_time.leader_time_ms(sessions.fleet_clock, sessions.agents.values(), ctx.machine, now)
 
 
--- a/tests/test_cluster_usage.py
+++ b/tests/test_cluster_usage.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from msgspec import Struct
+from msgspec import Struct, structs
 from test_cluster_lease_client import endpoint_of, new_agent, new_sequencer, sent
 from twisted.internet.task import Clock
 
@@ -231,6 +231,29 @@
     assert fleet_time.leader_time_ms(FleetClock(), expired + unknown, machine, 0) == DAY_MS
 
 
+def test_a_new_leader_tells_no_time_before_the_agents_had_time_to_send_theirs():
+    clock, ctx, sessions = leading()
+    ctx.core.synchrony.installed_ms = 60000
+    request = LeaseRequest(0, 0, wall_ms=DAY_MS + 6000)
+    assert agent_sessions.on_lease_request(ctx, sessions, endpoint_of("c1", "core", 5), request).fleet_ms == 0
+    for name in ("c2", "c3", "c4"):
+        request = LeaseRequest(0, 0, wall_ms=DAY_MS + 60000)
+        agent_sessions.on_lease_request(ctx, sessions, endpoint_of(name, "core", 5), request)
+    clock.advance(1.2)
+    ctx.core.synchrony.peers["s2"].granted_ms = ctx.core.synchrony.peers["s3"].granted_ms = 61200
+    request = LeaseRequest(0, 0, wall_ms=DAY_MS + 61200)
+    reply = agent_sessions.on_lease_request(ctx, sessions, endpoint_of("c2", "core", 5), request)
+    assert reply.fleet_ms == DAY_MS + 61200
+
+
+def test_nothing_is_counted_where_only_orders_of_runners_are_wanted():
+    clock, agent = reporting_agent()
+    agent.settings = structs.replace(SETTINGS, platform_tasks=("scaling",))
+    usage_reports.add_request(agent, "a", 0)
+    grant(agent, closed=0)
+    assert agent.usage.windows == {} and reports(agent) == []
+
+
 def test_an_agent_keeps_the_fleets_time_although_its_own_clock_is_set():
     clock, agent = reporting_agent()
     agent.machine = Machine(seconds=clock.seconds, wall_s=lambda: 12345.0)
