--- a/frostpost/cluster/scaling_policy.py
+++ b/frostpost/cluster/scaling_policy.py
@@ -100,11 +100,14 @@
     return max(view.min_count, min(view.max_count, count))
 
 
+def is_listing_due(view):
+    """Whether the list must show by now what was ordered."""
+    return view.is_stable and view.unchanged_ms >= view.boot_ms + LIST_DELAY_MS
+
+
 def missing_runners(view):
     """The number of ordered runners that should be listed by now and are not."""
-    if not view.is_stable or view.unchanged_ms < view.boot_ms + LIST_DELAY_MS:
-        return 0
-    return sum(max(0, zone.target - zone.listed) for zone in view.zones)
+    return sum(max(0, zone.target - zone.listed) for zone in view.zones) if is_listing_due(view) else 0
 
 
 def scale_out(view, targets):
@@ -130,7 +133,8 @@
     """Targets with at most one runner less in each zone, if demand was low for a calm period."""
     if view.peak_slots is None or view.unchanged_ms < calm_period_ms(view.boot_ms) or is_changing(view):
         return targets
-    surplus = sum(targets.values()) - runners_for(view.peak_slots, view.slots_per_runner, SCALE_IN_RATIO)
+    needed = runners_for(view.peak_slots, view.slots_per_runner, SCALE_IN_RATIO)
+    surplus = sum(targets.values()) - missing_runners(view) - needed
     demand, planned = {zone.zone: zone.demand for zone in view.zones}, dict(targets)
     for zone in sorted(targets, key=lambda name: (demand_per_runner(demand, targets, name), -targets[name], name)):
         if surplus > 0 and planned[zone] > view.min_count:
@@ -141,7 +145,9 @@
 
 def is_changing(view):
     """Whether runners are being added, removed or replaced, or that isn't known."""
-    return not view.is_stable or any(zone.draining or zone.listed != zone.target for zone in view.zones)
+    is_replacing = any(zone.draining or zone.listed > zone.target for zone in view.zones)
+    is_adding = any(zone.listed < zone.target for zone in view.zones) and not is_listing_due(view)
+    return not view.is_stable or is_replacing or is_adding
 
 
 def demand_per_runner(demand, counts, zone):
--- a/tests/fleet_simulator/world.py
+++ b/tests/fleet_simulator/world.py
@@ -250,6 +250,7 @@
         if daemon.role == "storage":
             with simulated_turn_store(files):
                 daemon.owner = replica_daemon.assemble(parsed_settings, host, machine, stop)
+                daemon.owner.sessions.capacity.routing_from_body = listening.routing_from_body
             host.dispatch(replica_daemon.start, daemon.owner)
         else:
             front = listening.make_front()
--- a/tests/test_cluster_scaling_policy.py
+++ b/tests/test_cluster_scaling_policy.py
@@ -88,6 +88,12 @@
     zones = zone("a", 4, listed=6), zone("b", 4)
     assert orders(*zones, recent_slots=1.0, peak_slots=2.0) == {}
     assert orders(zone("a", listed=4, draining=2), recent_slots=1.0, peak_slots=2.0) == {}
+    assert orders(*zones, recent_slots=1.0, peak_slots=2.0, unchanged_ms=1 << 40) == {}
+
+
+def test_unknown_state_of_the_platform_removes_nothing():
+    assert orders(zone("a", 4), recent_slots=1.0, peak_slots=2.0, is_stable=False) == {}
+    assert orders(zone("a", 6, listed=3), recent_slots=30.0, unchanged_ms=1 << 40, is_stable=False) == {}
 
 
 def test_release_does_not_hide_that_demand_nears_the_capacity():
@@ -106,6 +112,14 @@
     assert orders(zone("a", 10, listed=7), recent_slots=30.0, unchanged_ms=1 << 40, max_count=99) == {}
 
 
+def test_lost_runners_do_not_keep_the_others_for_ever():
+    zones = zone("a", 6, listed=3), zone("b", 6)
+    late = BOOT_MS + LIST_DELAY_MS
+    assert orders(*zones, recent_slots=4.0, peak_slots=4.0, unchanged_ms=late - 1) == {}
+    assert orders(*zones, recent_slots=4.0, peak_slots=4.0, unchanged_ms=late) == {"a": 5, "b": 5}
+    assert orders(*zones, recent_slots=4.0, peak_slots=34.0, unchanged_ms=late) == {}
+
+
 def test_bounds_of_a_new_configuration_move_what_was_ordered():
     assert orders(zone("a", 9), zone("b", 1), zone("c", listed=1), max_count=6) == {"a": 6, "b": 2}
 
