Test: an unknown key must run nowhere after the wait for a routing (failing)

What callers saw: a request with an unknown key that reaches an edge before its first routing waits in delay_for_lease and then runs at a runner. Cause as for the other tests of the file: admit() doesn't look at the key. The test holds that the key is judged after the wait. The file is renamed, as only tests of the platform may hold its names (test_platform_names_appear_only_in_its_package_and_tests failed since the file was added).

--- a/tests/test_unknown_credentials.py
+++ b/tests/test_platform_unknown_credentials.py
@@ -7,7 +7,7 @@
 from test_platform_control import FakeControlClient, send
 from test_platform_path import RequestPath, response_bytes
 
-from frostpost.cluster import lease_client
+from frostpost.cluster import lease_client, lease_waiters
 from frostpost.platform import control, listening
 from frostpost.virtual_synchrony.agent_messages import RoutingUpdate
 
@@ -51,9 +51,18 @@
     def replace(self, document, base=0):
         """Send a configuration and put into force what is stored then. Returns the status of the response."""
         status, _ = send("POST", "Configuration.Replace", document, base)
+        self.put_into_force()
+        return status
+
+    def put_into_force(self):
+        """Pass the stored configuration to the edge, as the sequencer does."""
         ledger = self.control.ledger
         lease_client.on_routing_update(self.agent, RoutingUpdate(ledger.routing_version, ledger.routing_body))
-        return status
+
+    def restart(self):
+        """Take the configuration away from the edge, as after the start of its process."""
+        self.agent.routing, self.agent.routing_body = None, b""
+        lease_client.session_of(self.agent).routing_version = 0
 
     def request(self, headers=b"", attempt=b"a1"):
         """Send a request on a new connection. Returns (bytes at the runner, bytes at the client)."""
@@ -133,6 +142,16 @@
     assert_runs_for(deployment, bearer(UNKNOWN_KEY), b"tenant2")
 
 
+def test_unknown_key_of_a_request_that_waits_for_the_first_routing_runs_nowhere(monkeypatch):
+    deployment = Deployment(monkeypatch)
+    deployment.restart()
+    assert deployment.request(bearer(UNKNOWN_KEY)) == (b"", b"")
+    deployment.put_into_force()
+    lease_waiters.wake_lease_waiters(deployment.agent)
+    assert deployment.path.harness.reactor.tcpClients == []
+    assert deployment.path.take_response().startswith(REFUSED_AS_UNAUTHENTICATED)
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_keyless_route_runs_without_a_key(monkeypatch, kind):
     received, response = Deployment(monkeypatch, keyless=True, **{"route-class": kind}).request()
