Failing test: a stored route whose keyless is null makes the routing unreadable

Earlier builds took and stored any value of keyless, as they didn't read it. The body doesn't decode now, so no edge would serve after an upgrade.

--- a/tests/test_platform_unreadable_tenants.py
+++ b/tests/test_platform_unreadable_tenants.py
@@ -69,3 +69,9 @@
         update = RoutingUpdate(8, routing.encode_body({**DOCUMENT, "subscribers": subscribers}))
         lease_client.on_routing_update(agent, update)
     assert agent.routing is before and lease_client.session_of(agent).routing_version == 7
+
+
+def test_stored_route_whose_keyless_is_null_is_readable_and_requires_a_credential():
+    routes = [{**DOCUMENT["route-table"][0], "keyless": None}]
+    stored = routing.routing_from_body(routing.encode_body({**DOCUMENT, "route-table": routes}))
+    assert not stored.routes[0].is_keyless
