Join tasks at the platform, orders of runners and tenants

Ids of the ledger have their own module below the proxy; the stand-in platform of the tests gives requests their tenants on admission, as the product does now.

--- a/frostpost/cluster/attempt_tracing.py
+++ b/frostpost/cluster/attempt_tracing.py
@@ -1,7 +1,7 @@
 """Trace lines that follow one attempt through a daemon, if its settings enable them."""
 
 from frostpost.daemon.structured_log import log_event
-from frostpost.proxy.models import client_id_of
+from frostpost.program_ledger.ids import client_id_of
 
 from .agent_context import now_ms
 
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -7,6 +7,8 @@
 
 from msgspec import Struct, field
 
+from frostpost.program_ledger.ids import scoped_id
+
 
 class Route(Struct, frozen=True):
     """A route. kind: safe, unsafe, idempotent or streaming. weights: (service, weight) pairs. rank: 0 first.
@@ -91,19 +93,6 @@
     draining: bool = False
 
 
-def scoped_id(scope, client_id):
-    """Return a client's id qualified by its tenant, so that equal ids of two tenants differ.
-
-    Ids come from header values, which contain no line feed; without a scope the id is returned unchanged.
-    """
-    return f"{scope}\n{client_id}" if scope else client_id
-
-
-def client_id_of(ledger_id):
-    """Return the id as the client sent it; the inverse of `scoped_id`."""
-    return ledger_id.rpartition("\n")[2]
-
-
 class Delays(Struct):
     """Time that a request has spent waiting for a lease, a ledger decision and a runner slot."""
 
--- a/tests/task_platform.py
+++ b/tests/fleet_simulator/task_platform.py
@@ -2,13 +2,14 @@
 
 from contextlib import contextmanager
 
+from msgspec import Struct, json
+
 from fleet_simulator import jobs, stage
 from fleet_simulator import list as listings
 from fleet_simulator import world as worlds
 from fleet_simulator.http import write
-from msgspec import Struct, json
-
-from frostpost.platform import front
+from frostpost.proxy import serve
+from frostpost.proxy.models import Tenant
 
 WINDOW_MS, USAGE_DELAY_MS, SEPARATION_MS, THAW_MS = 5000, 10000, 3000, 300
 TENANTS, EPOCH_MS = 5, 1_800_000_000_000
@@ -111,7 +112,7 @@
 @contextmanager
 def tasks_wanted(kinds=("usage_report", "scaling")):
     """Let deployments have a platform that wants tasks, and requests that have tenants."""
-    document_of, parse_request, received = worlds.document_of, front.parse_request, listings.ListingConnection
+    document_of, authenticate, received = worlds.document_of, serve.authenticate, listings.ListingConnection
     receive_list, start_stream = received.request_received, jobs.Job.start_stream
 
     def start(job, first):
@@ -130,23 +131,20 @@
         settings["cloud-api"] |= {"duties": list(kinds), "duty-per-s": 50.0}
         return settings
 
-    def parse(request, started_ms):
-        result = parse_request(request, started_ms)
-        if result.is_ok():
-            result.ok.tenant = tenant_of(result.ok.program)
-        return result
+    def tenant_of_call(routing, route, call):
+        return Tenant(tenant_of(call.program))
 
     def receive(connection, message):
         if message.start.startswith(b"POST"):
             return PLATFORMS[connection.listing].receive(connection, message)
         return receive_list(connection, message)
 
-    worlds.document_of, front.parse_request, received.request_received = document, parse, receive
+    worlds.document_of, serve.authenticate, received.request_received = document, tenant_of_call, receive
     jobs.Job.start_stream = start
     try:
         yield
     finally:
-        worlds.document_of, front.parse_request, received.request_received = document_of, parse_request, receive_list
+        worlds.document_of, serve.authenticate, received.request_received = document_of, authenticate, receive_list
         jobs.Job.start_stream = start_stream
         PLATFORMS.clear()
 
--- a/tests/test_platform_scaling.py
+++ b/tests/test_platform_scaling.py
@@ -1,8 +1,8 @@
 """Orders of runners in a simulated deployment: a surge, the calm after it, and a leader that dies in between."""
 
 import pytest
-import task_platform as platforms
 from fleet_simulator import operator
+from fleet_simulator import task_platform as platforms
 from fleet_simulator import world as worlds
 from msgspec import json
 
