Report usage more often where few agents serve

What was counted since the last report is lost with its daemon. Reports now come at a joint rate of 40 a second, at least once a second and at most five times: up to 0.2 s are lost in a fleet of 8 agents, 1 s of one daemon among 40 or more.

--- a/frostpost/cluster/task_server.py
+++ b/frostpost/cluster/task_server.py
@@ -9,12 +9,12 @@
 from . import fleet_time, task_schedule, usage_collection
 from .capacity_orders import capacity_orders
 from .leadership import is_sequencer
-from .usage_reports import REPORT_INTERVAL_MS
+from .usage_reports import MAX_INTERVAL_MS
 
 COLLECT_INTERVAL_S = 0.25
 SUBMIT_TIMEOUT_MS = 5000
 # Agents report at once to a new leader; within this time those whose report was lost have repeated it.
-NEW_LEADER_WAIT_MS = 2 * REPORT_INTERVAL_MS
+NEW_LEADER_WAIT_MS = 2 * MAX_INTERVAL_MS
 
 
 def takes_tasks(ctx, sessions):
--- a/frostpost/cluster/usage_reports.py
+++ b/frostpost/cluster/usage_reports.py
@@ -13,7 +13,10 @@
 from .fleet_time import agent_time_ms
 from .lease_client import NEVER_MS, holds_lease, replica_addresses, session_of
 
-REPORT_INTERVAL_MS = 1000
+MIN_INTERVAL_MS, MAX_INTERVAL_MS = 200, 1000
+# What an agent counted since its last report is lost with it, which weighs more the fewer agents there are. Few agents
+# therefore report more often, together at this rate.
+REPORTS_PER_S = 40
 MAX_WINDOWS = 720
 
 
@@ -82,9 +85,14 @@
     return serves and counter_of(agent).closed >= 0 and holds_lease(agent)
 
 
+def report_interval_ms(agent):
+    """How often this agent reports."""
+    return min(MAX_INTERVAL_MS, max(MIN_INTERVAL_MS, 1000 * session_of(agent).agent_count // REPORTS_PER_S))
+
+
 def due_ms(agent):
     """When the next report is due, on this daemon's clock; None if there is none to send."""
-    return counter_of(agent).sent_ms + REPORT_INTERVAL_MS if is_reporting(agent) else None
+    return counter_of(agent).sent_ms + report_interval_ms(agent) if is_reporting(agent) else None
 
 
 def report_if_due(agent):
@@ -96,7 +104,7 @@
         counter.leader = (session.sequencer, session.epoch)
         counter.changed.update(counter.windows)
         send_report(agent)
-    elif now_ms(agent) - counter.sent_ms >= REPORT_INTERVAL_MS:
+    elif now_ms(agent) - counter.sent_ms >= report_interval_ms(agent):
         send_report(agent)
 
 
--- a/tests/test_cluster_usage.py
+++ b/tests/test_cluster_usage.py
@@ -73,6 +73,14 @@
     assert reports(agent) == []
 
 
+@pytest.mark.parametrize("agents, interval_ms", [(1, 200), (6, 200), (20, 500), (40, 1000), (370, 1000)])
+def test_few_agents_report_more_often_since_each_loses_more_when_it_dies(agents, interval_ms):
+    clock, agent = reporting_agent()
+    agent.session.agent_count = agents
+    usage_reports.send_report(agent)
+    assert usage_reports.due_ms(agent) == interval_ms
+
+
 def test_a_reply_to_an_earlier_report_acknowledges_nothing():
     clock, agent = reporting_agent()
     usage_reports.add_request(agent, "a", 0)
