--- a/tests/task_platform.py
+++ b/tests/fleet_simulator/task_platform.py
@@ -2,14 +2,15 @@
 
 from contextlib import contextmanager
 
-from fleet_simulator import jobs, stage
-from fleet_simulator import list as listings
-from fleet_simulator import world as worlds
-from fleet_simulator.http import write
 from msgspec import Struct, json
 
 from frostpost.platform import front
 
+from . import jobs, stage
+from . import list as listings
+from . import world as worlds
+from .http import write
+
 WINDOW_MS, USAGE_DELAY_MS, SEPARATION_MS, THAW_MS = 5000, 10000, 3000, 300
 TENANTS, EPOCH_MS = 5, 1_800_000_000_000
 # What takes the calls at the host of each listing.
--- a/tests/test_platform_tasks.py
+++ b/tests/test_platform_tasks.py
@@ -1,8 +1,8 @@
 """Platform tasks in a simulated deployment: one daemon at a time calls, each window is reported once and as it was."""
 
 import pytest
-import task_platform as platforms
 from fleet_simulator import cuts, stage
+from fleet_simulator import task_platform as platforms
 from fleet_simulator import world as worlds
 from fleet_simulator.shapes import SHAPES
 from msgspec import json
