Refuse a usage window without length in the settings

A settings file with report-window-s 0 was taken, and the daemon divided by it at its first lease request. The schema asks for a millisecond at least. The new test failed before (AttributeError: the settings were accepted) and passes now.

--- a/frostpost/platform/settings.py
+++ b/frostpost/platform/settings.py
@@ -55,6 +55,8 @@
 
 
 NUMBER = {"type": "number", "check_with": check_finite, "min": 0, "max": 1e9, "nullable": True}
+# Times of day are divided by it, in milliseconds.
+WINDOW = {**NUMBER, "min": 0.001}
 COUNT = {"type": "integer", "min": 0, "nullable": True}
 ADDRESS = {"type": "string", "check_with": check_address, "nullable": True}
 TIMERS = (
@@ -98,7 +100,7 @@
     "limits": table_schema(memory_mb=NUMBER, max_fds=NUMBER, disk_mb=NUMBER),
     "data-dir": {"type": "string", "nullable": True},
     "tolerance": table_schema(machines=COUNT, zones=COUNT, regions=COUNT),
-    "timers": table_schema(**{name: NUMBER for name in (*TIMERS, "lease-ms")}),
+    "timers": table_schema(**{name: NUMBER for name in (*TIMERS, "lease-ms")} | {"report-window-s": WINDOW}),
     "cloud-api": table_schema(
         address=ADDRESS,
         rate_per_s=NUMBER,
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -99,6 +99,11 @@
     assert parse(**changes).error.path == path
 
 
+@pytest.mark.parametrize("window_s", [0, 0.0004])
+def test_usage_window_without_length_is_refused(window_s):
+    assert parse(timers={"report-window-s": window_s}).error.path == "timers.report-window-s"
+
+
 def test_settings_file_is_named_by_the_environment(tmp_path, monkeypatch):
     file = Path(tmp_path, "settings.yaml")
     file.write_text(DOCUMENT)
