The leader's platform tasks follow reloaded settings

On SIGHUP an agent took the new windows and wanted tasks, the leader kept those of its start, so they could close and count different windows (found by review). reload_settings hands them to the sessions. The new test failed before.

--- a/frostpost/cluster/assembly.py
+++ b/frostpost/cluster/assembly.py
@@ -17,6 +17,7 @@
     if reread.is_ok():
         agent.settings = reread.ok
         if reread.ok.role == STORAGE_ROLE:
+            agent.sessions.settings = reread.ok
             update_seeds(agent)
         log_event("settings", seeds=list(reread.ok.seeds))
     else:
--- a/tests/test_cluster_replica_daemon.py
+++ b/tests/test_cluster_replica_daemon.py
@@ -150,3 +150,15 @@
     settings = structs.replace(replica.settings, seeds=("h:9",))
     assembly.reload_settings(replica, SimpleNamespace(reread=lambda: Ok(settings)))
     assert replica.ctx.core.synchrony.seeds == ("@h:9", "@h:7", "@h:8")
+
+
+def test_reloaded_settings_are_those_of_the_leaders_platform_tasks(monkeypatch):
+    from types import SimpleNamespace
+
+    from expression import Ok
+    from msgspec import structs
+
+    replica, _, _ = new_replica(monkeypatch, (CONFIGURATION_RECORD,))
+    settings = structs.replace(replica.settings, platform_tasks=("usage",), report_window_ms=7000)
+    assembly.reload_settings(replica, SimpleNamespace(reread=lambda: Ok(settings)))
+    assert replica.sessions.settings == settings
