A late failure of an earlier platform task doesn't delay the next one

TaskFailed named the subject only, so a failure that came after its task had been completed made the leader wait before it offered the next one (found by review). It names the task now, and the leader ignores one that isn't due. The new test can't be written without the number; with the number and the old on_failure it fails. The message is new in this change, so no earlier build reads it; its recorded bytes are taken anew.

--- a/frostpost/cluster/task_client.py
+++ b/frostpost/cluster/task_client.py
@@ -76,7 +76,7 @@
         return
     count(agent, "tasks_failed")
     log_event("task_failed", **fields, status=outcome.status, reason=outcome.reason, took_ms=took_ms)
-    report_failure(agent, offer, outcome)
+    report_failure(agent, offer, grant.task.number, outcome)
 
 
 @inlineCallbacks
@@ -94,9 +94,9 @@
     return outcome
 
 
-def report_failure(agent, offer, outcome):
+def report_failure(agent, offer, number, outcome):
     """Tell the leader of a failed call, so that the task is offered again, here or elsewhere."""
     address = replica_addresses(agent).get(session_of(agent).sequencer)
     if address is not None:
         reachable = outcome.status > 0 or outcome.reason == "late"
-        agent.links["send"](address, TaskFailed(offer.kind, offer.subject, outcome.retry_ms, reachable))
+        agent.links["send"](address, TaskFailed(offer.kind, offer.subject, outcome.retry_ms, reachable, number))
--- a/frostpost/cluster/task_schedule.py
+++ b/frostpost/cluster/task_schedule.py
@@ -126,10 +126,13 @@
 
 
 def on_failure(schedule, ledger, agent_name, message, now_ms):
-    """Offer a task whose call failed again, after a time that grows with the failures in a row."""
+    """Offer a task whose call failed again, after a time that grows with the failures in a row.
+
+    A failure of another task than the one that is due came late and is ignored.
+    """
     key = task_leases.lease_key(message.kind, message.subject)
     task = task_leases.due_task(ledger.program_ledger.tasks, message.kind, message.subject)
-    if task is None:
+    if task is None or task.number != message.number:
         return
     schedule.offers.pop(key, None)
     backoff = schedule.backoffs.get(key)
--- a/frostpost/virtual_synchrony/task_messages.py
+++ b/frostpost/virtual_synchrony/task_messages.py
@@ -69,10 +69,12 @@
 class TaskFailed(Struct, frozen=True, array_like=True, tag=44):
     """An agent's call for a task failed. retry_ms: the earliest time for another one, counted from now.
 
-    reachable: whether the platform answered, so that another agent would fare no better.
+    reachable: whether the platform answered, so that another agent would fare no better. number: identifies the task
+    within its subject.
     """
 
     kind: str
     subject: str
     retry_ms: int
     reachable: bool
+    number: int
--- a/tests/test_cluster_task_schedule.py
+++ b/tests/test_cluster_task_schedule.py
@@ -14,7 +14,7 @@
 RENEWAL_MS, LEASE_MS = 240, 4500
 SETTINGS = DaemonSettings("s", "storage", "z", "h", 1, platform_tasks=("usage", "scaling"), tasks_per_s=1000.0)
 OFFER = (TaskOffer(USAGE, ""),)
-FAILED = TaskFailed(USAGE, "", 0, True)
+FAILED = TaskFailed(USAGE, "", 0, True, 1)
 
 
 class Leader:
@@ -51,12 +51,19 @@
                 return self.now_ms - started_ms, offered
         return None
 
-    def fail(self, name, retry_ms=0, reachable=True):
+    def fail(self, name, retry_ms=0, reachable=True, number=1):
         task_schedule.on_failure(
-            self.schedule, self.ledger, name, TaskFailed(USAGE, "", retry_ms, reachable), self.now_ms
+            self.schedule, self.ledger, name, TaskFailed(USAGE, "", retry_ms, reachable, number), self.now_ms
         )
 
 
+def test_a_late_failure_of_an_earlier_task_does_not_delay_the_next_one():
+    leader = Leader("c1")
+    late = TaskFailed(USAGE, "", 10000, True, 0)
+    task_schedule.on_failure(leader.schedule, leader.ledger, "c1", late, leader.now_ms)
+    assert leader.renew_all() == ["c1"]
+
+
 def test_one_agent_at_a_time_is_offered_a_task():
     leader = Leader("c1", "c2", "e1")
     assert leader.renew_all() == ["c1"]
