--- a/review/1/case.py
+++ b/review/1/case.py
@@ -43,7 +43,7 @@
     return served
 
 
-async def test_configuration_is_read_back_after_a_store_was_killed(world, trouble):
+async def change_while_a_store_is_down(world, trouble):
     """Kill one store, change the configuration, start the store again, and go on once it has long been back."""
     await world.open([("lookups", lambda runner, request: b"done")])
     first = first_document()
@@ -70,5 +70,10 @@
     assert issue == newest, f"version {newest} was acknowledged; the read gives {issue}"
 
 
+def test_configuration_is_read_back_after_a_store_was_killed():
+    """A configuration that was acknowledged is read back once a store that was killed has long been back."""
+    stand_ins.play(change_while_a_store_is_down, Path(__file__).parent)
+
+
 if __name__ == "__main__":
-    sys.exit(stand_ins.play(test_configuration_is_read_back_after_a_store_was_killed, Path(__file__).parent))
+    sys.exit(stand_ins.exit_status(test_configuration_is_read_back_after_a_store_was_killed))
