--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -189,7 +189,7 @@
     def start(self, name):
         """Start a daemon's process."""
         environment = {
-            "PATH": os.environ.get("PATH", ""), "HOME": self.folder, "LANG": "C.UTF-8",
+            "PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"), "LANG": "C.UTF-8",
             "PYTHONPATH": str(ROOT / "target" / "deps"), "FROSTPOST_BOOT": self.write_settings(name),
         }  # fmt: skip
         with open(f"{self.folder}/{name}.log", "ab") as log:
