--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 HOST, SECRET, OTHER_SECRET = "ficu95.example", "m82thhkmgjqnirth5mgj", "y5rcpihhacruddedev3n"
 BEARER, OTHER_BEARER = {"Authorization": f"Bearer {SECRET}"}, {"Authorization": f"Bearer {OTHER_SECRET}"}
-APPLY_S = stand_ins.TIMERS["apply-ms"] / 1000
+APPLY_S, KEY_WINDOW_S, RETENTION_S = stand_ins.TIMERS["apply-ms"] / 1000, stand_ins.TIMERS["key-window-s"], 60.0
 
 
 def routes(keyless):
@@ -50,11 +50,13 @@
     """The rules that what runners and clients have seen breaks, as texts; foreign: an answer to the other tenant."""
     found = []
     for key in ("k-lost", "k-answered"):
-        runs = [r["headers"] for r in world.runs if r["headers"].get("x-operation-key") == key]
-        own = [headers for headers in runs if headers.get("x-subscriber") == "hule930"]
+        runs = [r for r in world.runs if r["headers"].get("x-operation-key") == key]
+        own = [r for r in runs if r["headers"].get("x-subscriber") == "hule930"]
+        own = [r for r in own if r["begun_s"] < world.sent_s[own[0]["headers"]["x-attempt-id"]] + KEY_WINDOW_S]
         if len(own) > 1:
             found.append(f"TWICE: {len(own)} requests of tenant hule930 with key {key} ran")
-    if second_turn.status in (404, 410):
+    is_kept = world.sent_s["turn-2"] < world.answered_s["turn-1"] + RETENTION_S
+    if second_turn.status in (404, 410) and is_kept:
         found.append(f"LOST: the turn after one that was answered whole is answered {second_turn.status}")
     if foreign.status == 200 and foreign.body != b"done try-5":
         found.append(f"MIXED: try-5 of tenant fida11 is answered {foreign.body.decode()!r}, an answer to hule930")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -63,6 +63,7 @@
     await world.wait_ready()
     for base in range(1, CHANGES + 1):
         await change(world, base)
+    before = await look_up(world)
     world.note("memory before the stop", peaks_mb=str(world.peaks_mb), over=str(world.over_memory))
     if trouble:
         await kill_all(world)
@@ -73,7 +74,8 @@
     world.note("memory at the end", peaks_mb=str(world.peaks_mb), over=str(world.over_memory))
     assert answer.status == 200, (
         f"version {newest} was acknowledged; from {RECOVERY_S} s after the return, {READ_S} s of reads end with"
-        f" {answer.status} and {served} of {LOOKUPS} lookups are served; killed over their memory: {world.over_memory}"
+        f" {answer.status} and {served} of {LOOKUPS} lookups are served ({before} before);"
+        f" killed over their memory: {world.over_memory}"
     )
     issue = json.loads(answer.body)["issue"]
     assert issue == newest, f"version {newest} was acknowledged; the read gives {issue}"
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -116,6 +116,7 @@
                     self.answer(writer, 421, attempt, b"", {"X-Instance-Id": self.id})
                     continue
                 request = {"method": method, "path": path, "headers": headers, "body": body.decode("latin-1")}
+                request["begun_s"] = time.monotonic()
                 self.world.note("ran", runner=self.id, service=self.service, **request)
                 self.world.runs.append(request)
                 await asyncio.sleep(self.late_s)
@@ -145,7 +146,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = f"127.{random.randrange(20, 220)}.{random.randrange(1, 250)}"
         self.nodes, self.processes, self.first, self.list_server = {}, {}, True, None
-        self.peaks_mb, self.over_memory = {}, {}
+        self.peaks_mb, self.over_memory, self.sent_s, self.answered_s = {}, {}, {}, {}
         for role, base, count in (("storage", 10, storages), ("core", 30, cores), ("edge", 50, edges)):
             for index in range(count):
                 self.nodes[f"{role}-{ZONES[index % 3]}-{index // 3 + 1}"] = (
@@ -275,7 +276,9 @@
         fields = {"Host": host, "X-Attempt-Id": attempt, "X-Time-Remaining": str(int(timeout_s * 1000))}
         fields |= {name.replace("_", "-"): str(value) for name, value in headers.items()}
         self.note("sent", edge=edge, method=method, path=path, headers=fields, body=body.decode("latin-1"))
+        self.sent_s[attempt] = time.monotonic()
         answer = await exchange((self.nodes[edge][2], FRONT_PORT), method, path, fields, body, timeout_s + 0.5)
+        self.answered_s[attempt] = time.monotonic()
         self.note(
             "answered", edge=edge, attempt=attempt, status=answer.status, why=answer.why,
             seal=answer.headers.get("x-server-seal"), body=answer.body.decode("latin-1"),
