--- a/frostpost/admin/fleet_checks.py
+++ b/frostpost/admin/fleet_checks.py
@@ -125,6 +125,30 @@
             )
 
 
+def check_completeness(fleet, sequencer):
+    """Yield findings about members of the primary whose log lacks entries, so that they bear no loss."""
+    for name, facts in fleet.ring.items():
+        if name in sequencer["members"] and not facts.get("refilled"):
+            yield Finding(
+                "Incomplete",
+                name,
+                f"its log ends at {facts.get('log_length', 0)}, that of the sequencer at {sequencer['log_length']}",
+                "repeat this in a second; if it persists, restore it before another storage daemon is lost",
+            )
+
+
+def check_links(fleet):
+    """Yield findings about daemons that dropped frames recently, since a link to another daemon was full."""
+    for name, facts in (*fleet.ring.items(), *fleet.agents.items()):
+        for address, dropped in facts.get("dropped_frames", {}).items():
+            yield Finding(
+                "FramesDropped",
+                name,
+                f"{dropped} frames to {address} were dropped, the last of them within seconds",
+                "check that the daemon there runs, and the bandwidth between the two",
+            )
+
+
 def check_retirements(fleet, sequencer):
     """Yield findings about storage daemons that are being retired."""
     voters, needed = sequencer["voters"], 2 * sequencer["tolerated"] + 1
@@ -189,10 +213,16 @@
         *check_unanswered(fleet, sequencer),
         *check_primary(fleet, sequencer),
         *check_replicas(fleet),
+        *check_links(fleet),
         *check_agents(fleet, sequencer),
     ]
     return (
         findings
         if sequencer is None
-        else [*findings, *check_voters(fleet, sequencer), *check_retirements(fleet, sequencer)]
+        else [
+            *findings,
+            *check_voters(fleet, sequencer),
+            *check_completeness(fleet, sequencer),
+            *check_retirements(fleet, sequencer),
+        ]
     )
--- a/frostpost/cluster/agent_sessions.py
+++ b/frostpost/cluster/agent_sessions.py
@@ -63,7 +63,8 @@
     routing_since_ms: when the current routing took effect here. draining: runners reported as draining, with the time
     at which the report expires. newest_list: the latest reading of the runner list that any agent reported. list_polls:
     which agent reads it next. summary: cached; None once an agent changed its routing version or incarnation or got a
-    new lease. settings: those of this daemon. fleet_clock, tasks, usage, capacity: see their modules.
+    new lease. routing_update: the last one sent to agents. settings: those of this daemon. fleet_clock, tasks, usage,
+    capacity: see their modules.
     """
 
     agents: dict[str, AgentSession] = {}
@@ -76,6 +77,7 @@
     list_polls: ListPollSchedule = field(default_factory=ListPollSchedule)
     admission: AdmissionQueue = field(default_factory=AdmissionQueue)
     settings: DaemonSettings = DaemonSettings("", "storage", "", "", 0)
+    routing_update: RoutingUpdate | None = None
     fleet_clock: FleetClock = field(default_factory=FleetClock)
     tasks: TaskSchedule = field(default_factory=TaskSchedule)
     usage: UsageCollection = field(default_factory=UsageCollection)
@@ -189,9 +191,16 @@
     if is_sequencer(ctx):
         for session in sessions.agents.values():
             if session.until_ms > clock_ms(ctx):
-                ctx.links["send"](
-                    session.address, RoutingUpdate(program_ledger.routing_version, program_ledger.routing_body)
-                )
+                ctx.links["send"](session.address, current_update(sessions, program_ledger))
+
+
+def current_update(sessions, program_ledger):
+    """The update with the current routing; the same object for all agents, so that its encoding is shared."""
+    update = sessions.routing_update
+    if update is None or update.body is not program_ledger.routing_body:
+        update = RoutingUpdate(program_ledger.routing_version, program_ledger.routing_body)
+        sessions.routing_update = update
+    return update
 
 
 def honoured_version(ctx, sessions):
@@ -227,7 +236,7 @@
         case RoutingRequest():
             program_ledger = ctx.core.ledger.program_ledger
             if program_ledger.routing_version > body.version:
-                ctx.links["send"](address, RoutingUpdate(program_ledger.routing_version, program_ledger.routing_body))
+                ctx.links["send"](address, current_update(sessions, program_ledger))
         case UsageReport() | TaskFailed():
             task_server.on_task_message(ctx, sessions, endpoint, body)
         case DirectoryRequest():
--- a/frostpost/cluster/operation_server.py
+++ b/frostpost/cluster/operation_server.py
@@ -3,7 +3,7 @@
 from expression import Error, Ok
 from msgspec import DecodeError, msgpack
 
-from frostpost.daemon.context import clock_ms
+from frostpost.daemon.context import clock_ms, count
 from frostpost.daemon.errors import NoPrimary
 from frostpost.daemon.event_loop import submit
 from frostpost.ledger.apply import decode_operation
@@ -22,6 +22,10 @@
     operation_key = (address, message.incarnation, message.number)
     if operation_key in sessions.operations_in_progress:
         return
+    if ctx.core.synchrony.outbox_bytes >= ctx.core.synchrony.bounds.window_bytes:
+        # Operations that end others bypass the window; they too have to wait for memory, and the agent repeats them.
+        count(ctx, "outbox_full")
+        return
     try:
         op = decode_operation(message.payload)
     except DecodeError:
--- a/frostpost/cluster/status.py
+++ b/frostpost/cluster/status.py
@@ -3,7 +3,7 @@
 from msgspec import json
 
 from frostpost.daemon.context import clock_ms
-from frostpost.daemon.frames import make_links
+from frostpost.daemon.frames import Links, make_links
 from frostpost.turn_store.store import used_bytes
 from frostpost.virtual_synchrony.agent_messages import DirectoryReply, DirectoryRequest, StatusReply, StatusRequest
 from frostpost.virtual_synchrony.leases import lease_remaining_ms
@@ -15,6 +15,7 @@
 from .list_reading import NEVER_MS
 
 DAEMON_ROLES = ("storage", "core", "edge")
+RECENT_DROPS_S = 10
 
 
 def begin_status(agent):
@@ -63,9 +64,10 @@
     return (ctx.endpoint, *(peer.endpoint for peer in ctx.core.synchrony.peers.values()))
 
 
-def common_facts(endpoint, uptime_ms, counts):
-    """Facts common to all daemons; times in milliseconds."""
+def common_facts(endpoint, uptime_ms, counts, links):
+    """Facts common to all daemons; times in milliseconds. dropped_frames: by "host:port", of full links only."""
     return {
+        "dropped_frames": links.recent_drops(RECENT_DROPS_S) if isinstance(links, Links) else {},
         "name": endpoint.member.name,
         "role": endpoint.role,
         "zone": endpoint.zone,
@@ -81,7 +83,9 @@
     resting_runners = [
         runner_id for runner_id, load in agent.loads.items() if runner_id in runners and load.ejected_until_ms > now
     ]
-    return common_facts(agent.endpoint, now - agent.attachments.get("started_ms", now), agent.counts) | {
+    return common_facts(
+        agent.endpoint, now - agent.attachments.get("started_ms", now), agent.counts, agent.links.get("send")
+    ) | {
         "sequencer": session.sequencer,
         "lease_left_ms": max(0, session.until_ms - now),
         "epoch": session.epoch,
@@ -113,7 +117,7 @@
 def replica_facts(replica):
     """Facts of a replica, as JSON values; fewer before its core has started."""
     ctx = replica.ctx
-    facts = common_facts(ctx.endpoint, clock_ms(ctx) - ctx.started_ms, ctx.counts) | {
+    facts = common_facts(ctx.endpoint, clock_ms(ctx) - ctx.started_ms, ctx.counts, ctx.links["send"]) | {
         "charter_waiting": replica.awaiting_bootstrap,
         "charter": list(replica.bootstrap_voters),
         "tolerated": replica.settings.tolerated,
--- a/frostpost/daemon/core.py
+++ b/frostpost/daemon/core.py
@@ -21,6 +21,7 @@
     TimerTick,
     WindowFull,
 )
+from frostpost.virtual_synchrony.outbox import remove_from_outbox
 from frostpost.virtual_synchrony.step import step as synchrony_step
 
 from . import snapshotting
@@ -128,7 +129,7 @@
         return []
     decided = [n for n in core.synchrony.outbox if n <= number]
     for decided_number in decided:
-        del core.synchrony.outbox[decided_number]
+        remove_from_outbox(core.synchrony, decided_number)
     return [OperationDecided(n, None) for n in decided]
 
 
--- a/frostpost/daemon/frames.py
+++ b/frostpost/daemon/frames.py
@@ -73,6 +73,7 @@
 
     def __init__(self, ctx):
         self.ctx, self.links, self.last_heard = ctx, {}, {}
+        self.shared_message, self.shared_frame = None, b""
 
     def __call__(self, to, body):
         """Queue a message for a daemon; it is dropped if the name is unknown."""
@@ -88,7 +89,24 @@
         link = self.links.get(key)
         if link is None:
             link = self.links[key] = Link(self.ctx, host, int(port))
-        link.send(encode(Frame(FRAME_VERSION, self.ctx.endpoint, name, body)))
+        link.send(self.encode_frame(name, body))
+
+    def encode_frame(self, name, body):
+        """Return the encoded frame; frames of the same RoutingUpdate, which goes to all agents, share their bytes."""
+        if name or not isinstance(body, RoutingUpdate):
+            return encode(Frame(FRAME_VERSION, self.ctx.endpoint, name, body))
+        if body is not self.shared_message:
+            self.shared_message, self.shared_frame = body, encode(Frame(FRAME_VERSION, self.ctx.endpoint, name, body))
+        return self.shared_frame
+
+    def recent_drops(self, period_s):
+        """Return how many frames were dropped, by "host:port" of the links that dropped any in the last `period_s`."""
+        since_s, drops = self.ctx.reactor.seconds() - period_s, {}
+        for (host, port, _), link in self.links.items():
+            if link.dropped_s >= since_s:
+                address = f"{host}:{port}"
+                drops[address] = drops.get(address, 0) + link.dropped_frames
+        return drops
 
     def on_peer_heard(self, endpoint):
         """Reconnect links to a peer from which a frame arrived, if they are pending or lead to an earlier process."""
--- a/frostpost/daemon/outgoing_link.py
+++ b/frostpost/daemon/outgoing_link.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections import deque
+from math import inf
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IWriteDescriptor
@@ -9,9 +10,15 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from .context import count
+from .structured_log import log_event
 
 MAX_FRAME_BYTES = 64 << 20
+# Bytes of queued frames from which on further ones are dropped.
 MAX_QUEUE_BYTES = 8 << 20
+# Larger frames are handed to the transport in chunks of this size.
+WRITE_CHUNK_BYTES = 128 << 10
+# Least time between two log events on frames dropped by one link.
+DROP_LOG_INTERVAL_S = 5.0
 # Divisors of the failure detection time: for the least time between attempts that are triggered by received frames, and
 # for the backoff after a failed attempt.
 RECONNECTS_PER_DETECTION = 5
@@ -84,18 +91,25 @@
 
     __slots__ = (
         "ctx", "host", "port", "writer", "paused", "queue", "queued_bytes",
-        "attempt", "backoff", "reconnect", "attempted_s", "opened_s",
+        "attempt", "backoff", "reconnect", "attempted_s", "opened_s", "dropped_frames", "dropped_s", "drop_logged_s",
+        "written_bytes",
     )  # fmt: skip
 
     def __init__(self, ctx, host, port):
         self.ctx, self.host, self.port = ctx, host, port
         self.writer, self.paused, self.queue, self.queued_bytes = None, True, deque(), 0
         self.attempt, self.backoff, self.reconnect, self.attempted_s, self.opened_s = None, None, None, 0.0, 0.0
+        self.dropped_frames, self.dropped_s, self.drop_logged_s = 0, -inf, -inf
+        self.written_bytes = 0
 
     def send(self, data):
-        """Queue an encoded frame, or drop it if the queue is full; the protocol repeats lost frames by timers."""
-        if self.queued_bytes + len(data) > MAX_QUEUE_BYTES:
-            count(self.ctx, "link_full")
+        """Queue an encoded frame, or drop it if the queue is full; the protocol repeats lost frames by timers.
+
+        A frame of any size up to MAX_FRAME_BYTES is queued while the frames before it take less than MAX_QUEUE_BYTES,
+        so that a repeated frame is sent once the link has had time to empty its queue.
+        """
+        if self.queued_bytes >= MAX_QUEUE_BYTES or len(data) > MAX_FRAME_BYTES:
+            self.drop(len(data))
             return
         self.queue.append(data)
         self.queued_bytes += len(data)
@@ -104,17 +118,52 @@
         elif not self.paused:
             self.flush()
 
+    def drop(self, frame_bytes):
+        """Count a dropped frame, and log it unless this link has logged one recently."""
+        count(self.ctx, "link_full")
+        self.dropped_frames += 1
+        self.dropped_s = self.ctx.reactor.seconds()
+        if self.dropped_s - self.drop_logged_s >= DROP_LOG_INTERVAL_S:
+            self.drop_logged_s = self.dropped_s
+            log_event(
+                "FrameDropped",
+                to=f"{self.host}:{self.port}",
+                bytes=frame_bytes,
+                queued_bytes=self.queued_bytes,
+                dropped=self.dropped_frames,
+            )
+
     def flush(self):
         """Send queued frames while the transport accepts them."""
         if not self.queue or self.writer is None or self.paused:
             return
         while self.queue and self.writer is not None and not self.paused:
-            data = self.queue.popleft()
-            self.queued_bytes -= len(data)
-            self.writer.sendString(data)
+            self.write_next()
         if self.writer is not None and not self.paused:
             write_immediately(self.writer.transport)
 
+    def write_next(self):
+        """Write the first queued frame to the transport, a large one chunk by chunk.
+
+        Links that send the same large frame thus share its bytes; a transport would copy what it is given as a whole.
+        """
+        frame = self.queue[0]
+        if len(frame) <= WRITE_CHUNK_BYTES:
+            self.remove_first()
+            self.writer.sendString(frame)
+            return
+        transport, start = self.writer.transport, self.written_bytes
+        chunk = frame[start : start + WRITE_CHUNK_BYTES]
+        self.written_bytes += len(chunk)
+        if self.written_bytes == len(frame):
+            self.remove_first()
+        transport.write(chunk if start else len(frame).to_bytes(FrameWriter.prefixLength, "big") + chunk)
+
+    def remove_first(self):
+        """Remove the first frame from the queue."""
+        self.queued_bytes -= len(self.queue.popleft())
+        self.written_bytes = 0
+
     def connect(self):
         """Connect, unless an attempt is in progress or the last one failed within the backoff."""
         if self.attempt is not None or self.backoff is not None:
@@ -148,7 +197,7 @@
         """Drop the connection and the queued frames."""
         self.writer, self.paused, self.attempt = None, True, None
         self.queue.clear()
-        self.queued_bytes = 0
+        self.queued_bytes = self.written_bytes = 0
 
     def on_peer_heard(self):
         """Schedule a reconnect after a frame from the other end, if the link is not connected.
--- a/frostpost/simulator/explore_hash.py
+++ b/frostpost/simulator/explore_hash.py
@@ -10,7 +10,8 @@
 
 MAX_AGE_MS = 2000
 MAX_EXCLUSION_AGE_MS = 11000
-# Statistics and repetition counters, and record numbers, which `pending_syncs` covers relative to the last sync.
+# Statistics and repetition counters, sizes that follow from other fields, and record numbers, which `pending_syncs`
+# covers relative to the last sync.
 IGNORED_FIELDS = {
     "counts",
     "bounds",
@@ -21,6 +22,9 @@
     "ready_record_number",
     "sync_target",
     "announced_periods",
+    "rebroadcast_rounds",
+    "outbox_bytes",
+    "undelivered_bytes",
     "work",
     "state",
 }
--- a/frostpost/simulator/play.py
+++ b/frostpost/simulator/play.py
@@ -45,10 +45,21 @@
 
 
 def play(
-    seed, edges=2, storages=3, cores=2, kinds=None, storm_ms=STORM_MS, bounds=None, prepare=None, gap_ms=2500, voters=0
+    seed,
+    edges=2,
+    storages=3,
+    cores=2,
+    kinds=None,
+    storm_ms=STORM_MS,
+    bounds=None,
+    prepare=None,
+    gap_ms=2500,
+    voters=0,
+    limits=None,
 ):
     """Simulate one seeded run with faults for `storm_ms`, then without; return (world, Report)."""
-    world = worlds.create_world(seed, edges, storages, cores, bounds or (SMALL_BOUNDS if seed % 2 else None), voters)
+    bounds = bounds or (SMALL_BOUNDS if seed % 2 else None)
+    world = worlds.create_world(seed, edges, storages, cores, bounds, voters, limits)
     random = Random(seed * 7919 + 1)
     load = Load(random, until_ms=storm_ms + 3000)
     world.on_notification = observer(load)
--- a/frostpost/simulator/world.py
+++ b/frostpost/simulator/world.py
@@ -13,6 +13,8 @@
 from frostpost.virtual_synchrony.events import LogSynced, MessageReceived, RewriteLog, TimerTick
 from frostpost.virtual_synchrony.messages import EntryBatch
 
+from . import link_limits
+from .link_limits import LinkLimits, LinkQueues
 from .node import Node
 
 
@@ -36,15 +38,20 @@
     submitted_operations: dict = field(default_factory=dict)
     on_notification: object = None
     power_cut_pending: bool = False
+    link_queues: LinkQueues = field(default_factory=LinkQueues)
 
 
-def create_world(seed, edges=2, storages=3, cores_count=2, bounds=None, voters=0):
-    """Return a world with all nodes started; `voters` is the number of storage nodes that vote, 0 for all."""
+def create_world(seed, edges=2, storages=3, cores_count=2, bounds=None, voters=0, limits=None):
+    """Return a world with all nodes started; `voters` is the number of storage nodes that vote, 0 for all.
+
+    limits: the LinkLimits of all links, those of the daemons if None.
+    """
     nodes = {}
     for role, count in (("storage", storages), ("core", cores_count), ("edge", edges)):
         nodes |= {f"{role[0]}{i + 1}": Node(f"{role[0]}{i + 1}", role, "abc"[i % 3]) for i in range(count)}
     voters = tuple(n for n in nodes if n[0] == "s")[: voters or storages]
     world = World(seed, Random(seed), bounds or Bounds(), nodes, voters)
+    world.link_queues.limits = limits or LinkLimits()
     for name in nodes:
         start(world, name)
     return world
@@ -159,7 +166,10 @@
     if world.loss_rate and world.random.random() < world.loss_rate:
         return
     base_delay_ms = 0.5 if receiver.zone != node.zone else 0.1
-    schedule(world, base_delay_ms + world.random.expovariate(2), "arrive", target, node.endpoint, body)
+    size = link_limits.message_bytes(body)
+    if size and not link_limits.enter(world.link_queues, (node.name, target), size):
+        return
+    schedule(world, base_delay_ms + world.random.expovariate(2), "arrive", target, node.endpoint, body, size)
 
 
 def run(world, until_ms):
@@ -178,6 +188,8 @@
         return
     node = world.nodes[arguments[0]]
     if kind == "arrive":
+        if arguments[3]:
+            link_limits.leave(world.link_queues, (arguments[1].member.name, node.name), arguments[3])
         if node.core is not None:
             if node.frozen:
                 node.queue.append((arguments[1], arguments[2]))
--- a/frostpost/virtual_synchrony/acknowledgements.py
+++ b/frostpost/virtual_synchrony/acknowledgements.py
@@ -8,8 +8,9 @@
 from .durable_log import voters_in
 from .members import member_names, sequencer_of
 from .messages import BatchAck, SafeUpdate
+from .order_state import PendingAck
 from .quorum import majority_watermark
-from .state import PendingAck, increment_counter
+from .state import increment_counter
 
 
 def keeps_log(synchrony):
--- a/frostpost/virtual_synchrony/bounds.py
+++ b/frostpost/virtual_synchrony/bounds.py
@@ -12,6 +12,7 @@
     size of a snapshot chunk. rewrite_entries: applied entries after which the log is compacted into a snapshot.
     refill_bytes_s: rate of snapshot transfer. slice_records: records that a snapshot encodes in one step.
     receipt_ack_ms: duration of a sync after which entries are acknowledged on receipt, see `acknowledgements`.
+    window_bytes, unsafe_bytes, batch_bytes: window, held and batch in bytes; each admits one item that alone is larger.
     """
 
     detect_ms: int = 500
@@ -25,6 +26,9 @@
     refill_bytes_s: int = 16 << 20
     slice_records: int = 2000
     receipt_ack_ms: int = 40
+    window_bytes: int = 16 << 20
+    unsafe_bytes: int = 4 << 20
+    batch_bytes: int = 1 << 20
 
     @property
     def heartbeat_ms(self):
--- a/frostpost/virtual_synchrony/catch_up.py
+++ b/frostpost/virtual_synchrony/catch_up.py
@@ -1,6 +1,7 @@
 """Catch-up of a replica that lacks entries of the primary, from the log or a snapshot of another member."""
 
 from . import delivery, primary_component
+from .batching import leading_batch
 from .events import SnapshotInstalled, SnapshotReceived, SnapshotRecord, SnapshotRequested
 from .members import member_names
 from .messages import EntriesReply, EntriesRequest
@@ -72,8 +73,9 @@
     if message.first <= log.snapshot_index or message.offset:
         out.notifications.append(SnapshotRequested(sender_name, message.id, message.offset))
         return
-    entries = log.entries[message.first - log.snapshot_index - 1 : primary.base - log.snapshot_index]
-    out.sends.append((sender_name, EntriesReply(message.id, tuple(entries[: synchrony.bounds.batch]))))
+    start, stop = message.first - log.snapshot_index - 1, primary.base - log.snapshot_index
+    entries = leading_batch(log.entries[start : min(stop, start + synchrony.bounds.batch)], synchrony.bounds)
+    out.sends.append((sender_name, EntriesReply(message.id, entries)))
 
 
 def on_entries_reply(synchrony, out, sender_name, message):
--- a/frostpost/virtual_synchrony/delivery.py
+++ b/frostpost/virtual_synchrony/delivery.py
@@ -1,6 +1,7 @@
 """Application of delivered entries in log order, and the log records written for them."""
 
 from .events import EntryApplied, EntryRecord
+from .outbox import remove_from_outbox
 from .state import write_record
 
 
@@ -56,7 +57,7 @@
     out.notifications.append(EntryApplied(entry))
     if entry.sender == synchrony.local_member and entry.number:
         while synchrony.outbox and (lowest_number := next(iter(synchrony.outbox))) <= entry.number:
-            del synchrony.outbox[lowest_number]
+            remove_from_outbox(synchrony, lowest_number)
             synchrony.outbox_ms = synchrony.now_ms
     if entry.ordinal == 1 and entry.configuration == synchrony.configuration.id:
         on_primary_opened(synchrony)
--- a/frostpost/virtual_synchrony/ordering.py
+++ b/frostpost/virtual_synchrony/ordering.py
@@ -5,11 +5,13 @@
 """
 
 from . import acknowledgements
+from .batching import entry_bytes, leading_batch, payload_batches
 from .configuration import Entry
 from .delivery import append_to_log, queue_for_apply
 from .events import EntryDelivered, OperationNumbered, WindowFull
 from .members import member_names, member_of, sequencer_of
 from .messages import EntryBatch, SubmitRequest
+from .outbox import add_to_outbox, is_outbox_full
 from .primary_component import send_ready
 from .state import increment_counter
 
@@ -19,12 +21,12 @@
 
     bypasses_window: accept the operation regardless of the window, as is done for operations that complete others.
     """
-    if not bypasses_window and len(synchrony.outbox) >= synchrony.bounds.window:
+    if not bypasses_window and is_outbox_full(synchrony):
         increment_counter(synchrony, "overfull")
         out.notifications.append(WindowFull(len(synchrony.outbox)))
         return
     synchrony.last_operation_number += 1
-    synchrony.outbox[synchrony.last_operation_number] = payload
+    add_to_outbox(synchrony, synchrony.last_operation_number, payload)
     out.notifications.append(OperationNumbered(synchrony.last_operation_number))
     send_outbox(synchrony, out)
 
@@ -40,9 +42,10 @@
         if synchrony.last_submitted_number < lowest_number:
             synchrony.outbox_ms = synchrony.now_ms
         synchrony.last_submitted_number = synchrony.last_operation_number
-        out.sends.append(
-            (sequencer_of(synchrony), SubmitRequest(synchrony.configuration.id, lowest_number, first_number, payloads))
-        )
+        for batch in payload_batches(payloads, synchrony.bounds):
+            request = SubmitRequest(synchrony.configuration.id, lowest_number, first_number, batch)
+            out.sends.append((sequencer_of(synchrony), request))
+            first_number += len(batch)
 
 
 def lowest_outbox_number(synchrony):
@@ -68,24 +71,30 @@
         if last_ordered < number <= last_ordered + synchrony.bounds.window:
             unordered[number] = payload
     while last_ordered + 1 in unordered:
-        if order.next_ordinal - order.safe_watermark > synchrony.bounds.held:
+        if is_order_full(synchrony):
             increment_counter(synchrony, "window_full")
             break
         last_ordered += 1
-        order.unsent_entries.append(
-            Entry(
-                message.id,
-                order.next_ordinal,
-                synchrony.primary.base + order.next_ordinal,
-                sender,
-                last_ordered,
-                unordered.pop(last_ordered),
-            )
-        )
-        order.next_ordinal += 1
+        append_ordered(synchrony, sender, last_ordered, unordered.pop(last_ordered))
     order.submitted_watermark[sender] = last_ordered
 
 
+def is_order_full(synchrony):
+    """Return whether the entries that are ordered and not yet safe have reached their bound in number or in bytes."""
+    order, bounds = synchrony.order, synchrony.bounds
+    return order.next_ordinal - order.safe_watermark > bounds.held or order.undelivered_bytes >= bounds.unsafe_bytes
+
+
+def append_ordered(synchrony, sender, number, payload):
+    """Append an operation to the order."""
+    order = synchrony.order
+    index = synchrony.primary.base + order.next_ordinal
+    entry = Entry(synchrony.configuration.id, order.next_ordinal, index, sender, number, payload)
+    order.unsent_entries.append(entry)
+    order.undelivered_bytes += entry_bytes(entry)
+    order.next_ordinal += 1
+
+
 def send_batch(synchrony, out, force=False):
     """At the sequencer, send the next batch to all members if the last one is safe or `force` is set."""
     order = synchrony.order
@@ -93,10 +102,8 @@
         return
     if order.sent_watermark > order.safe_watermark and not force:
         return
-    entries, order.unsent_entries = (
-        tuple(order.unsent_entries[: synchrony.bounds.batch]),
-        order.unsent_entries[synchrony.bounds.batch :],
-    )
+    entries = leading_batch(order.unsent_entries, synchrony.bounds)
+    order.unsent_entries = order.unsent_entries[len(entries) :]
     order.sent_watermark = entries[-1].ordinal
     increment_counter(synchrony, "batches")
     increment_counter(synchrony, "ordered", len(entries))
@@ -151,6 +158,7 @@
     while order.delivered_watermark < order.safe_watermark and order.delivered_watermark < order.received_watermark:
         order.delivered_watermark += 1
         entry = order.pending.pop(order.delivered_watermark)
+        order.undelivered_bytes = max(0, order.undelivered_bytes - entry_bytes(entry))
         out.notifications.append(EntryDelivered(entry, False, synchrony.primary.eligible))
         if synchrony.primary.eligible:
             queue_for_apply(synchrony, out, entry)
@@ -195,8 +203,7 @@
             continue
         order.sent_ms[name] = synchrony.now_ms
         ordinals = range(order.receipts.get(name, 0) + 1, order.sent_watermark + 1)
-        entries = tuple(order.pending[ordinal] for ordinal in ordinals if ordinal in order.pending)[
-            : synchrony.bounds.batch
-        ]
+        missing = [order.pending[ordinal] for ordinal in ordinals if ordinal in order.pending]
+        entries = leading_batch(missing, synchrony.bounds)
         increment_counter(synchrony, "resent", len(entries))
         out.sends.append((name, EntryBatch(synchrony.configuration.id, entries, order.safe_watermark)))
--- a/frostpost/virtual_synchrony/recovery.py
+++ b/frostpost/virtual_synchrony/recovery.py
@@ -5,15 +5,17 @@
 rest in the transitional one, and then install the new configuration.
 """
 
+from .batching import batches
 from .configuration import Configuration
 from .durable_log import voters_in
 from .events import ConfigurationChanged, EntryDelivered
 from .members import sequencer_of
 from .messages import Rebroadcast, RecoveryComplete
+from .order_state import OrderState
 from .ordering import advance_received_watermark, queue_for_apply
 from .primary_component import decide_primary, prepare_primary
 from .quorum import has_quorums, is_majority
-from .state import OrderState, increment_counter
+from .state import increment_counter
 
 
 def has_entry(exchange, ordinal):
@@ -67,14 +69,19 @@
 
 
 def send_rebroadcasts(synchrony, out):
-    """Send the entries assigned to this member to the members that lack them."""
+    """Send the entries assigned to this member to the members that lack them.
+
+    Each round begins with another batch, so that a full link doesn't drop the same ones every time.
+    """
     recovery, pending = synchrony.recovery, synchrony.order.pending
     for name, ordinals in recovery.ordinals_to_rebroadcast.items():
         entries = [pending[ordinal] for ordinal in ordinals if ordinal in pending]
-        for start in range(0, len(entries), synchrony.bounds.batch):
-            batch = tuple(entries[start : start + synchrony.bounds.batch])
+        messages = list(batches(entries, synchrony.bounds))
+        first = recovery.rebroadcast_rounds % len(messages) if messages else 0
+        for batch in (*messages[first:], *messages[:first]):
             increment_counter(synchrony, "rebroadcast", len(batch))
             out.sends.append((name, Rebroadcast(recovery.id, batch)))
+    recovery.rebroadcast_rounds += 1
 
 
 def on_rebroadcast(synchrony, out, sender_name, message):
--- a/frostpost/virtual_synchrony/state.py
+++ b/frostpost/virtual_synchrony/state.py
@@ -8,6 +8,7 @@
 from .endpoints import Endpoint, Member
 from .events import Output, PromiseRecord
 from .messages import RecoveryExchange
+from .order_state import OrderState, PendingAck
 
 # Earlier than any clock reading.
 NEVER_MS = -(1 << 40)
@@ -59,7 +60,8 @@
 
     plan: exchanges of all members, by name. transitional_members: members that come from the same configuration.
     required_ordinals: entries that all of these must hold. ordinals_to_rebroadcast: those that this member sends, by
-    receiver. sync_target: number of the record that must be synced before this member confirms.
+    receiver; rebroadcast_rounds: how often it has sent them. sync_target: number of the record that must be synced
+    before this member confirms.
     """
 
     id: ConfigurationId
@@ -72,53 +74,11 @@
     transitional_members: tuple[Member, ...] = ()
     required_ordinals: frozenset[int] = frozenset()
     ordinals_to_rebroadcast: dict[str, tuple[int, ...]] = {}
+    rebroadcast_rounds: int = 0
     is_complete: bool = False
     sync_target: int = -1
 
 
-class PendingAck(Struct, frozen=True):
-    """An acknowledgement that waits for a sync.
-
-    record_number: number of the last record that must be synced. watermark: the ordinal to acknowledge. written_ms:
-    time at which the record was written.
-    """
-
-    record_number: int
-    watermark: int
-    written_ms: int
-
-
-class OrderState(Struct):
-    """The total order in the installed configuration. Ordinals count from 1; watermarks are ordinals.
-
-    pending: undelivered entries by ordinal. received_watermark: all entries up to it are received. synced_watermark:
-    all up to it are synced in a log bound to the primary. acknowledged_watermark, reported_received_watermark: the
-    highest reported to the sequencer. safe_watermark: the order is safe up to it. early_messages: messages of the
-    configuration being installed. Used by the sequencer only: acks, receipts, synced: watermarks by member name;
-    sent_ms: time of the last batch sent or progress reported, by member name; submitted_watermark: highest ordered
-    operation number by sender; out_of_order: operations received after a gap, by sender; unsent_entries: entries
-    ordered and not sent.
-    """
-
-    pending: dict[int, Entry] = {}
-    received_watermark: int = 0
-    delivered_watermark: int = 0
-    safe_watermark: int = 0
-    next_ordinal: int = 1
-    synced_watermark: int = 0
-    acknowledged_watermark: int = 0
-    reported_received_watermark: int = 0
-    acks: dict[str, int] = {}
-    receipts: dict[str, int] = {}
-    synced: dict[str, int] = {}
-    sent_ms: dict[str, int] = {}
-    submitted_watermark: dict[Member, int] = {}
-    out_of_order: dict[Member, dict[int, bytes]] = {}
-    unsent_entries: list[Entry] = []
-    sent_watermark: int = 0
-    early_messages: list[tuple[str, object]] = []
-
-
 class PrimaryState(Struct):
     """The primary component as seen by this member in the installed configuration.
 
@@ -154,7 +114,8 @@
     has_log: whether the role keeps a log (voters and learners). voters: those in force as of the applied entries.
     desired_members: members chosen by the failure detector, unchanged since `desired_since_ms`. obligations: members
     whose entries must be delivered in a transitional configuration. applied: index of the last applied entry.
-    pending_entries: entries delivered and not applied, by index. outbox: own unapplied operations by number.
+    pending_entries: entries delivered and not applied, by index. outbox: own unapplied operations by number, of
+    `outbox_bytes` in all.
     written_count, synced_count: numbers of records written and synced. pending_acks: acknowledgements that wait for a
     sync, oldest first. messages_to_replay: early messages of a configuration that was just installed. status: counters
     sent in heartbeats. apply_paused: set while a snapshot is encoded. peers_changed: whether peers have changed since
@@ -187,6 +148,7 @@
     applied: int = 0
     pending_entries: dict[int, Entry] = {}
     outbox: dict[int, bytes] = {}
+    outbox_bytes: int = 0
     outbox_ms: int = 0
     last_submitted_number: int = 0
     last_operation_number: int = 0
--- a/tests/test_fleet_status.py
+++ b/tests/test_fleet_status.py
@@ -177,6 +177,7 @@
         "tolerated": 1,
         "disk_unwell": False,
         "refilled": True,
+        "log_length": 40,
         "turn_store": {"bodies": 1, "missing": 0, "bytes": 9, "lost": False},
         "members": ["s1", "s2", "s3"],
         "configuration": {"epoch": 3, "proposer": "s1", "boot": 1},
@@ -211,6 +212,7 @@
 WITH_MISSING_BODIES = sequencer_facts(
     name="s2", sequencing=False, turn_store={"bodies": 0, "missing": 2, "bytes": 0, "lost": False}
 )
+WITH_MISSING_ENTRIES = sequencer_facts(name="s2", sequencing=False, refilled=False, log_length=14)
 IN_OTHER_CONFIGURATION = sequencer_facts(
     name="s2", sequencing=False, configuration={"epoch": 4, "proposer": "s2", "boot": 1}
 )
@@ -230,6 +232,9 @@
         (fleet_of(sequencer_facts(disk_unwell=True)), {("DiskUnwell", "s1")}),
         (fleet_of(sequencer_facts(), others={"s2": WITH_MISSING_BODIES}), {("BodiesMissing", "s2")}),
         (fleet_of(sequencer_facts(), others={"s2": IN_OTHER_CONFIGURATION}), {("Split", "2 in 3 by s1, 1 in 4 by s2")}),
+        (fleet_of(sequencer_facts(), others={"s2": WITH_MISSING_ENTRIES}), {("Incomplete", "s2")}),
+        (fleet_of(sequencer_facts(dropped_frames={"h:2": 3})), {("FramesDropped", "s1")}),
+        (fleet_of(sequencer_facts(), agent_facts(dropped_frames={"h:2": 3})), {("FramesDropped", "e1")}),
         (fleet_of(sequencer_facts(**RETIRING)), {("RetiringStuck", "s3")}),
         (fleet_of(sequencer_facts(tolerated=0, **RETIRING)), set()),
         (
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,9 +8,10 @@
 from zope.interface import directlyProvides, providedBy
 
 from frostpost.cluster.settings import DaemonSettings
+from frostpost.daemon import outgoing_link
 from frostpost.daemon.context import TestHooks
-from frostpost.daemon.frames import Links
-from frostpost.virtual_synchrony.agent_messages import DirectoryRequest
+from frostpost.daemon.frames import Links, decode
+from frostpost.virtual_synchrony.agent_messages import DirectoryRequest, RoutingUpdate
 from frostpost.virtual_synchrony.endpoints import Endpoint, Member
 
 ADDRESS = ("10.0.0.2", 7380)
@@ -178,3 +179,108 @@
     assert transport.write_calls == 2 and transport.written == transport.value()
     transport.producer.resumeProducing()
     assert transport.write_calls == 2
+
+
+class SizedMessage(DirectoryRequest, frozen=True, array_like=True, tag=90):
+    """A message of any size."""
+
+    data: bytes
+
+
+def frames_in(transport):
+    data, frames = transport.value(), []
+    while data:
+        length = int.from_bytes(data[:4], "big")
+        frames.append(data[4 : 4 + length])
+        data = data[4 + length :]
+    return frames
+
+
+def logged_drops(monkeypatch):
+    events = []
+    monkeypatch.setattr(outgoing_link, "log_event", lambda kind, **fields: events.append((kind, fields)))
+    return events
+
+
+def test_frame_larger_than_the_queue_is_sent(links):
+    """Guards against review/1: a frame above the queue's bound was dropped however often it was repeated."""
+    links(TO, SizedMessage(b"x" * 2 * outgoing_link.MAX_QUEUE_BYTES))
+    transport = accept(links)
+    assert [len(frame) > 2 * outgoing_link.MAX_QUEUE_BYTES for frame in frames_in(transport)] == [True]
+    assert links.ctx.counts == {}
+
+
+def test_frames_dropped_by_a_full_queue_are_counted_and_logged_once_in_a_while(links, monkeypatch):
+    events = logged_drops(monkeypatch)
+    for _ in range(4):
+        links(TO, SizedMessage(b"x" * (outgoing_link.MAX_QUEUE_BYTES // 2)))
+    assert links.ctx.counts == {"link_full": 2}
+    assert [(kind, fields["to"], fields["dropped"]) for kind, fields in events] == [
+        ("FrameDropped", "10.0.0.2:7380", 1)
+    ]
+    links.ctx.reactor.advance(outgoing_link.DROP_LOG_INTERVAL_S)
+    links(TO, SizedMessage(b"x" * outgoing_link.MAX_QUEUE_BYTES))
+    assert len(events) == 2 and links.ctx.counts == {"link_full": 3}
+
+
+def test_frame_that_no_receiver_takes_is_dropped_and_logged(links, monkeypatch):
+    events = logged_drops(monkeypatch)
+    monkeypatch.setattr(outgoing_link, "MAX_FRAME_BYTES", 1000)
+    links(TO, SizedMessage(b"x" * 1000))
+    links(TO, DirectoryRequest())
+    assert len(frames_in(accept(links))) == 1
+    assert [fields["bytes"] > 1000 for _, fields in events] == [True]
+
+
+def test_large_frame_is_handed_to_the_transport_in_chunks_and_arrives_whole(links):
+    data = bytes(range(256)) * 4096
+    links(TO, SizedMessage(data))
+    links(TO, DirectoryRequest())
+    transport = accept_buffering(links)
+    written, chunks = transport.write, []
+
+    def write_and_pause(chunk):
+        chunks.append(len(chunk))
+        written(chunk)
+        transport.producer.pauseProducing()
+
+    large, small = frames_in(transport)
+    assert data in large and len(small) < 200
+    transport.write = write_and_pause
+    links(TO, SizedMessage(data))
+    for _ in range(20):
+        transport.producer.resumeProducing()
+    assert frames_in(transport) == [large, small, large]
+    assert max(chunks) <= outgoing_link.WRITE_CHUNK_BYTES + 4 and len(chunks) >= len(data) // max(chunks)
+
+
+def test_connection_lost_within_a_large_frame_leaves_no_rest_of_it_for_the_next(links):
+    links(TO, SizedMessage(b"x" * 4 * outgoing_link.WRITE_CHUNK_BYTES))
+    protocol, transport = links.ctx.reactor.tcpClients[-1][2].buildProtocol(None), StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    written = transport.write
+    transport.write = lambda chunk: (written(chunk), transport.producer.pauseProducing())
+    protocol.makeConnection(transport)
+    assert 0 < len(transport.value()) < 2 * outgoing_link.WRITE_CHUNK_BYTES
+    protocol.connectionLost(None)
+    links(TO, DirectoryRequest())
+    links.ctx.reactor.advance(1)
+    links(TO, DirectoryRequest())
+    assert [len(frame) < 200 for frame in frames_in(accept(links))] == [True, True]
+
+
+def test_update_for_all_agents_is_encoded_once(links):
+    update = RoutingUpdate(3, b"x" * 1000)
+    frames = [links.encode_frame("", update) for _ in range(3)]
+    assert frames[0] is frames[1] is frames[2]
+    assert links.encode_frame("", RoutingUpdate(4, b"y")) != frames[0]
+    assert decode(frames[0]).body == update
+
+
+def test_links_that_dropped_frames_recently_are_told(links, monkeypatch):
+    monkeypatch.setattr(outgoing_link, "MAX_QUEUE_BYTES", 10)
+    for _ in range(3):
+        links(TO, DirectoryRequest())
+    assert links.recent_drops(10) == {"10.0.0.2:7380": 2}
+    links.ctx.reactor.advance(11)
+    assert links.recent_drops(10) == {}
