Compact the log by bytes, and read it record by record at a start

Cause: a compaction was due by the number of entries (20,000), whatever their size. Each change stores the whole document as an entry, 0.8 MB here, and all entries stay in the file and in memory: the log grew with the history, not with the state. A start read the file as a whole, copied each record and decoded all of them before the first was replayed, which took twice the file and made the growth visible.

DurableLog counts the bytes of its entries itself. The file is read in chunks of 1 MiB and each record replayed as it is read; a record that claims more than the file holds isn't read. Large buffers are written without being joined, and records of a replacement file are encoded one by one.

Why it works: log and start follow the state and a constant, however many changes there were.

--- a/frostpost/app/assembly.py
+++ b/frostpost/app/assembly.py
@@ -10,6 +10,7 @@
 from frostpost.background.load_poller import poll_all_runners
 from frostpost.background.runner_list_poller import poll_runner_list
 from frostpost.daemon import disk as disks
+from frostpost.daemon import stored_log
 from frostpost.daemon.context import Context, TestHooks, clock_ms
 from frostpost.daemon.core import create_core
 from frostpost.daemon.event_loop import TICK_MS, tick_periodically
@@ -19,7 +20,7 @@
 from frostpost.http_api.http_client import http_agent
 from frostpost.http_api.lookups import wake_key_waiters
 from frostpost.tenant_config.body_store import BodyStore
-from frostpost.virtual_synchrony.durable_log import replay
+from frostpost.virtual_synchrony.durable_log import DurableLog
 from frostpost.virtual_synchrony.endpoints import PROTOCOL_REVISION, Endpoint, Member
 
 
@@ -79,9 +80,9 @@
     )
     ctx = Context(settings, reactor, endpoint, machine)
     ctx.body_store = BodyStore(f"{settings.name}.{incarnation}")
-    records, ctx.disk = [], disks.NullLogWriter()
+    log, ctx.disk = DurableLog(), disks.NullLogWriter()
     if settings.role == "storage":
-        write_ahead_log, records, error = disks.open_log(settings.data, machine.files)
+        write_ahead_log, log, error = stored_log.open_log(settings.data, machine.files)
         ctx.disk = disks.LogWriter(ctx, write_ahead_log)
         error = config_bodies.load(ctx, settings.data) or error
         if error:
@@ -101,7 +102,7 @@
     }
     ctx.http_agent = http_agent(ctx)[1]
     seeds = [f"@{address}" for address in settings.seeds]
-    ctx.core, out = create_core(endpoint, settings.bounds, seeds, settings.voters, replay(records), clock_ms(ctx))
+    ctx.core, out = create_core(endpoint, settings.bounds, seeds, settings.voters, log, clock_ms(ctx))
     ctx.core.synchrony.status = config_bodies.status_vector(ctx)
     ctx.disk.write(out.writes)
     return ctx, build_site(ctx)
--- a/frostpost/background/config_bodies.py
+++ b/frostpost/background/config_bodies.py
@@ -17,6 +17,7 @@
 )
 from frostpost.virtual_synchrony.quorum import is_majority
 from frostpost.write_ahead_log import log as write_ahead_logs
+from frostpost.write_ahead_log import replacement
 
 encode = msgpack.Encoder().encode
 decode = msgpack.Decoder(body_store.BodyWrite).decode
@@ -244,4 +245,4 @@
             writer.is_writing = False
             flush(ctx)
 
-        ctx.machine.in_thread(write_ahead_logs.rewrite, writer.write_ahead_log, payloads).addBoth(on_rewritten)
+        ctx.machine.in_thread(replacement.rewrite, writer.write_ahead_log, payloads).addBoth(on_rewritten)
--- a/frostpost/cluster/address_store.py
+++ b/frostpost/cluster/address_store.py
@@ -4,6 +4,7 @@
 
 from frostpost.virtual_synchrony.members import member_names
 from frostpost.write_ahead_log import log as write_ahead_logs
+from frostpost.write_ahead_log import replacement
 
 
 class AddressStore(Struct):
@@ -40,7 +41,7 @@
     if store.writing or addresses == store.addresses or not addresses:
         return
     store.writing = True
-    write = store.machine.in_thread(write_ahead_logs.rewrite, store.write_ahead_log, [msgpack.encode(addresses)])
+    write = store.machine.in_thread(replacement.rewrite, store.write_ahead_log, [msgpack.encode(addresses)])
     write.addCallbacks(on_written, on_write_failed, (store, addresses), None, (store,))
 
 
--- a/frostpost/cluster/replica_context.py
+++ b/frostpost/cluster/replica_context.py
@@ -25,7 +25,7 @@
         "machine",
         "peers",
         "reactor",
-        "records",
+        "log",
         "bootstrap_poll",
         "send",
         "sessions",
@@ -43,13 +43,8 @@
             voter_reconfiguration.VoterChanges(),
         )
         self.reactor, self.machine, self.tasks = ctx.reactor, ctx.machine, []
-        self.turn_store, self.send, self.records, self.awaiting_bootstrap, self.bootstrap_voters = (
-            None,
-            None,
-            [],
-            True,
-            (),
-        )
+        self.turn_store, self.send, self.log = None, None, None
+        self.awaiting_bootstrap, self.bootstrap_voters = True, ()
         self.draining = False
         self.bootstrap_poll = None
 
--- a/frostpost/cluster/replica_daemon.py
+++ b/frostpost/cluster/replica_daemon.py
@@ -5,7 +5,7 @@
 from frostpost.background.ledger_clock import tick_ledger
 from frostpost.daemon import core as cores
 from frostpost.daemon import disk as disks
-from frostpost.daemon import event_loop
+from frostpost.daemon import event_loop, stored_log
 from frostpost.daemon.context import Context, clock_ms
 from frostpost.daemon.frames import listen, make_links
 from frostpost.daemon.structured_log import log_event
@@ -20,7 +20,7 @@
     PutBodyReply,
     PutBodyRequest,
 )
-from frostpost.virtual_synchrony.durable_log import NO_CONFIGURATION, replay
+from frostpost.virtual_synchrony.durable_log import NO_CONFIGURATION
 from frostpost.virtual_synchrony.endpoints import PROTOCOL_REVISION, Endpoint, Member
 from frostpost.virtual_synchrony.events import DrainRequested, MessageReceived
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
@@ -49,7 +49,7 @@
     ctx = Context(replica_settings(settings), reactor, endpoint, machine)
     replica = ReplicaContext(ctx, settings, stop)
     ctx.lifecycle = ProcessExit(stop)
-    write_ahead_log, replica.records, damage = disks.open_log(settings.data, machine.files)
+    write_ahead_log, replica.log, damage = stored_log.open_log(settings.data, machine.files)
     if damage:
         log_event(type(damage).__name__, path=damage.path, offset=damage.offset)
     ctx.disk = disks.LogWriter(ctx, write_ahead_log)
@@ -83,8 +83,7 @@
 def start(replica):
     """Listen, then begin serving: at once with a stored log or at a later start, else with the bootstrap record."""
     listen(replica.ctx, lambda ctx, frame: on_frame(replica, frame)).addErrback(on_listen_failure(replica))
-    log = replay(replica.records)
-    if log.primary != NO_CONFIGURATION or not replica.settings.first_start:
+    if replica.log.primary != NO_CONFIGURATION or not replica.settings.first_start:
         begin_serving(replica, ())
     replica.bootstrap_poll = run_every(replica, lambda: request_bootstrap(replica), 0.1)
 
@@ -105,9 +104,9 @@
     replica.awaiting_bootstrap, replica.bootstrap_voters = False, voters
     seeds = dict.fromkeys((*settings.seeds, *address_store.stored_addresses(replica.peers)))
     ctx.core, out = cores.create_core(
-        ctx.endpoint, ctx.settings.bounds, [f"@{s}" for s in seeds], voters, replay(replica.records), clock_ms(ctx)
+        ctx.endpoint, ctx.settings.bounds, [f"@{s}" for s in seeds], voters, replica.log, clock_ms(ctx)
     )
-    replica.records = []
+    replica.log = None
     ctx.disk.write(out.writes)
     event_loop.start_ticker(ctx, on_job_failure(replica))
     replica.tasks.append(ctx.ticker)
--- a/frostpost/daemon/disk.py
+++ b/frostpost/daemon/disk.py
@@ -13,7 +13,6 @@
     DiskHealthChanged,
     LogSynced,
     ProbeRecord,
-    Record,
     RewriteLog,
     SnapshotRecord,
 )
@@ -30,7 +29,6 @@
 MAX_RECOVERY_SYNCS = 4 * RECOVERY_SYNCS
 RELAPSE_RATIO = 20
 encode = msgpack.Encoder().encode
-decode = msgpack.Decoder(Record).decode
 
 
 class LogWriter:
@@ -235,9 +233,3 @@
     """Append and sync a batch of records; runs in a thread."""
     write_ahead_logs.append(write_ahead_log, [encode(r) for r in batch])
     write_ahead_logs.sync(write_ahead_log)
-
-
-def open_log(directory, files):
-    """Return the open log, the records read from it, and the damage found in its file, if any."""
-    write_ahead_log, payloads, damage = write_ahead_logs.open_log(directory, "log", files)
-    return write_ahead_log, [decode(p) for p in payloads], damage
--- a/frostpost/daemon/log_compaction.py
+++ b/frostpost/daemon/log_compaction.py
@@ -8,6 +8,7 @@
 
 from frostpost.virtual_synchrony.events import Record, RewriteLog
 from frostpost.write_ahead_log import log as write_ahead_logs
+from frostpost.write_ahead_log import replacement as replacements
 
 # A failed compaction, for instance on a full disk, is retried after this multiple of `detect_ms`.
 RETRY_RATIO = 10
@@ -68,11 +69,11 @@
 
 def prepare(log: write_ahead_logs.WriteAheadLog, rewrite: RewriteLog) -> write_ahead_logs.WriteAheadLog:
     """Write and sync the replacement file; runs in a thread, concurrently with appends to the log."""
-    return write_ahead_logs.prepare_replacement(log, [encode(r) for r in rewrite.records])
+    return replacements.prepare_replacement(log, map(encode, rewrite.records))
 
 
 def install(
     log: write_ahead_logs.WriteAheadLog, replacement: write_ahead_logs.WriteAheadLog, tail: list[Record]
 ) -> None:
     """Replace the log's file; runs in a thread, while no append is in progress."""
-    write_ahead_logs.install_replacement(log, replacement, [encode(r) for r in tail])
+    replacements.install_replacement(log, replacement, [encode(r) for r in tail])
--- a/frostpost/daemon/machine.py
+++ b/frostpost/daemon/machine.py
@@ -21,7 +21,8 @@
     replace: Callable = os.replace
     exists: Callable = os.path.exists
     makedirs: Callable = os.makedirs
-    read: Callable = lambda path: read_file(path)
+    size: Callable = os.path.getsize
+    pread: Callable = os.pread
     pwrite: Callable = os.pwrite
 
 
@@ -37,9 +38,3 @@
 
 
 MACHINE = Machine()
-
-
-def read_file(path):
-    """Return the contents of a file."""
-    with open(path, "rb") as file:
-        return file.read()
--- a/frostpost/daemon/snapshotting.py
+++ b/frostpost/daemon/snapshotting.py
@@ -28,6 +28,8 @@
 
 # A served snapshot is dropped when no chunk of it has been requested for this multiple of `detect_ms`.
 IDLE_RATIO = 10
+# The size of the entries that makes a compaction due is at most this multiple of `rewrite_bytes`.
+MAX_REWRITE_RATIO = 2
 # The next snapshot for a compaction waits this multiple of the time that the last one took, so that queued entries can
 # be applied.
 COMPACTION_REST_RATIO = 4
@@ -185,24 +187,36 @@
 
 
 def is_compaction_due(synchrony):
-    """Return whether enough entries have been applied since the log's snapshot to compact the log."""
-    applied_count = synchrony.applied - synchrony.log.snapshot_index
-    if not synchrony.has_log or not synchrony.primary.ready or applied_count < synchrony.bounds.rewrite_entries:
+    """Return whether the log can be compacted, and its entries have reached their bound in number or in bytes."""
+    if not synchrony.has_log or not synchrony.primary.ready or not is_log_large(synchrony):
         return False
     return synchrony.primary.opened and synchrony.recovery is None and synchrony.applied <= synchrony.log.length
 
 
+def is_log_large(synchrony):
+    """Return whether the entries since the log's snapshot have reached their bound in number or in bytes.
+
+    The bound in bytes grows with the snapshot, so that a large state isn't rewritten for a few entries, but only up to
+    a limit: the log stays within the state and a constant.
+    """
+    log, bounds = synchrony.log, synchrony.bounds
+    applied_count = synchrony.applied - log.snapshot_index
+    if applied_count >= bounds.rewrite_entries:
+        return True
+    due_bytes = min(max(bounds.rewrite_bytes, log.snapshot_bytes), MAX_REWRITE_RATIO * bounds.rewrite_bytes)
+    return applied_count > 0 and log.entries_bytes >= due_bytes
+
+
 def write_compacted_log(synchrony, out, encoded):
     """Replace the log by a snapshot and the entries after it."""
     log = synchrony.log
-    tail = log.entries[encoded.index - log.snapshot_index :]
-    log.snapshot_index, log.entries, log.commit_index = encoded.index, tail, max(log.commit_index, encoded.index)
+    log.compact(encoded.index, len(encoded.state))
     synchrony.written_count += 1
     synchronies.increment_counter(synchrony, "rewrites")
     records = (
         PromiseRecord(synchrony.local_member.incarnation, log.epoch),
         SnapshotRecord(log.snapshot_index, encoded.state),
         ConfigurationRecord(log.primary, log.base, log.voters),
-        *(EntryRecord(e, log.snapshot_index) for e in tail),
+        *(EntryRecord(entry, log.snapshot_index) for entry in log.entries),
     )
     out.writes.append(RewriteLog(records))
--- a/frostpost/simulator/explore_hash.py
+++ b/frostpost/simulator/explore_hash.py
@@ -25,6 +25,8 @@
     "rebroadcast_rounds",
     "outbox_bytes",
     "undelivered_bytes",
+    "entries_bytes",
+    "snapshot_bytes",
     "work",
     "state",
 }
--- a/frostpost/simulator/simulated_disk.py
+++ b/frostpost/simulator/simulated_disk.py
@@ -106,8 +106,8 @@
         begin_call(disk, "replace")
         disk.names[new] = disk.names.pop(old)
 
-    def read(path):
-        return bytes(disk.names[path].data)
+    def pread(fd, length, offset):
+        return bytes(disk.handles[fd].data[offset : offset + length])
 
     return Files(
         open=open_file,
@@ -119,7 +119,8 @@
         replace=replace,
         exists=lambda path: path in disk.names,
         makedirs=lambda path, exist_ok: None,
-        read=read,
+        size=lambda path: len(disk.names[path].data),
+        pread=pread,
         pwrite=pwrite,
     )
 
--- a/frostpost/turn_store/segments.py
+++ b/frostpost/turn_store/segments.py
@@ -17,7 +17,6 @@
 class BodyFiles(Files, frozen=True):
     """File operations of the turn store, which needs more of them than a log."""
 
-    pread: Callable = os.pread
     unlink: Callable = os.unlink
     listdir: Callable = os.listdir
 
--- a/frostpost/virtual_synchrony/bounds.py
+++ b/frostpost/virtual_synchrony/bounds.py
@@ -13,6 +13,7 @@
     refill_bytes_s: rate of snapshot transfer. slice_records: records that a snapshot encodes in one step.
     receipt_ack_ms: duration of a sync after which entries are acknowledged on receipt, see `acknowledgements`.
     window_bytes, unsafe_bytes, batch_bytes: window, held and batch in bytes; each admits one item that alone is larger.
+    rewrite_bytes: entries of this size in all make a compaction due whatever their number, see `snapshotting`.
     """
 
     detect_ms: int = 500
@@ -29,6 +30,7 @@
     window_bytes: int = 16 << 20
     unsafe_bytes: int = 4 << 20
     batch_bytes: int = 1 << 20
+    rewrite_bytes: int = 16 << 20
 
     @property
     def heartbeat_ms(self):
--- a/frostpost/virtual_synchrony/catch_up.py
+++ b/frostpost/virtual_synchrony/catch_up.py
@@ -88,7 +88,7 @@
         delivery.append_fetched_to_log(synchrony, out, message.entries)
         if not primary.log_matches:
             last_index = message.entries[-1].index if message.entries else primary.base
-            del log.entries[max(0, last_index - log.snapshot_index) :]
+            log.truncate(last_index)
             primary.log_matches = True
         if log.length >= primary.base:
             primary_component.become_ready(synchrony, out)
@@ -134,7 +134,8 @@
         pending_index: entry for pending_index, entry in synchrony.pending_entries.items() if pending_index > index
     }
     if synchrony.has_log:
-        log.snapshot_index, log.entries, primary.log_matches = index, [], True
+        log.replace(index, len(state))
+        primary.log_matches = True
         write_record(synchrony, out, SnapshotRecord(index, state))
         if index >= primary.base:
             primary_component.become_ready(synchrony, out)
--- a/frostpost/virtual_synchrony/delivery.py
+++ b/frostpost/virtual_synchrony/delivery.py
@@ -8,7 +8,7 @@
 def append_to_log(synchrony, out, entry):
     """Append an entry to the log if it is the next one; ignore it otherwise."""
     if entry.index == synchrony.log.length + 1:
-        synchrony.log.entries.append(entry)
+        synchrony.log.append(entry)
         write_record(synchrony, out, EntryRecord(entry, synchrony.log.commit_index))
 
 
@@ -21,7 +21,7 @@
             continue
         if position < len(log.entries) and log.entries[position].configuration == entry.configuration:
             continue
-        del log.entries[position:]
+        log.truncate(entry.index - 1)
         append_to_log(synchrony, out, entry)
 
 
--- a/frostpost/virtual_synchrony/durable_log.py
+++ b/frostpost/virtual_synchrony/durable_log.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, msgpack
 
+from .batching import entry_bytes
 from .configuration import ConfigurationId, DurableState, Entry
 from .events import ConfigurationRecord, EntryRecord, PromiseRecord, SetVoters, SnapshotRecord
 
@@ -14,8 +15,9 @@
     """Contents of the log, including records that are written and not yet synced.
 
     primary, base: the primary component that the log belongs to, and the index after which it continues.
-    snapshot_index: last index covered by the snapshot; the entries follow it. epoch: highest epoch promised or started.
-    commit_index: entries up to this index are committed.
+    snapshot_index: last index covered by the snapshot, of `snapshot_bytes`; the entries follow it, `entries_bytes` in
+    all. epoch: highest epoch promised or started. commit_index: entries up to this index are committed. The entries are
+    changed by the methods only.
     """
 
     primary: ConfigurationId = NO_CONFIGURATION
@@ -27,12 +29,37 @@
     incarnation: int = 0
     commit_index: int = 0
     snapshot: bytes = b""
+    snapshot_bytes: int = 0
+    entries_bytes: int = 0
 
     @property
     def length(self):
         """Index of the last entry."""
         return self.snapshot_index + len(self.entries)
 
+    def append(self, entry):
+        """Append an entry after the last one."""
+        self.entries.append(entry)
+        self.entries_bytes += entry_bytes(entry)
+
+    def truncate(self, last_index):
+        """Remove the entries after this index."""
+        count = max(0, last_index - self.snapshot_index)
+        self.entries_bytes -= sum(entry_bytes(entry) for entry in self.entries[count:])
+        del self.entries[count:]
+
+    def compact(self, snapshot_index, snapshot_bytes):
+        """Replace the entries up to an index by a snapshot of this size."""
+        self.entries = self.entries[max(0, snapshot_index - self.snapshot_index) :]
+        self.entries_bytes = sum(entry_bytes(entry) for entry in self.entries)
+        self.snapshot_index, self.snapshot_bytes = snapshot_index, snapshot_bytes
+        self.commit_index = max(self.commit_index, snapshot_index)
+
+    def replace(self, snapshot_index, snapshot_bytes):
+        """Replace all entries by a snapshot of this size."""
+        self.snapshot_index, self.snapshot_bytes = snapshot_index, snapshot_bytes
+        self.entries, self.entries_bytes = [], 0
+
 
 def replay(records):
     """Return the log that results from replaying the records in order."""
@@ -48,16 +75,16 @@
         case PromiseRecord(incarnation, epoch):
             log.incarnation, log.epoch = max(log.incarnation, incarnation), max(log.epoch, epoch)
         case SnapshotRecord(index, state):
-            log.snapshot_index, log.entries, log.snapshot = index, [], state
-            log.commit_index = max(log.commit_index, index)
+            log.replace(index, len(state))
+            log.snapshot, log.commit_index = state, max(log.commit_index, index)
         case ConfigurationRecord(id, base, voters):
             log.primary, log.base, log.voters = id, base, voters
             log.epoch = max(log.epoch, id.epoch)
-            del log.entries[max(0, base - log.snapshot_index) :]
+            log.truncate(base)
         case EntryRecord(entry, commit_index):
-            del log.entries[max(0, entry.index - log.snapshot_index - 1) :]
+            log.truncate(entry.index - 1)
             if entry.index == log.length + 1:
-                log.entries.append(entry)
+                log.append(entry)
             log.commit_index = max(log.commit_index, min(commit_index, log.length))
 
 
--- a/frostpost/virtual_synchrony/primary_component.py
+++ b/frostpost/virtual_synchrony/primary_component.py
@@ -85,7 +85,7 @@
     primary, log = synchrony.primary, synchrony.log
     voters = synchrony.voters or primary.voters
     log.primary, log.base, log.voters = synchrony.configuration.id, primary.base, voters
-    del log.entries[max(0, primary.base - log.snapshot_index) :]
+    log.truncate(primary.base)
     primary.ready_record_number = write_record(synchrony, out, ConfigurationRecord(log.primary, log.base, log.voters))
     received = {**synchrony.pending_entries}
     received.update(
--- a/frostpost/write_ahead_log/log.py
+++ b/frostpost/write_ahead_log/log.py
@@ -1,4 +1,4 @@
-"""An append-only log in a single file: open, append, sync and atomic replacement.
+"""An append-only log in a single file: open, append and sync; see `replacement` for its atomic replacement.
 
 Synced records survive a power failure. Records read from an existing file may never have been synced, because the
 process that wrote them was killed or its sync failed; opening the log writes them again and syncs them before it
@@ -6,11 +6,14 @@
 """
 
 import os
+from collections.abc import Callable, Iterable
+from itertools import groupby
 
 from msgspec import Struct
 
 from frostpost.daemon.machine import Files
 
+from .file_reader import FileReader
 from .records import Record, Scan, encode_header, encode_sync_marker, scan
 
 # Size of the writes into which records are joined; bounds the memory for copies of large payloads.
@@ -74,21 +77,34 @@
     directory: str, name: str, files: Files = FILES
 ) -> tuple[WriteAheadLog, list[Record], Torn | Corrupt | None]:
     """Open a log like `open_log`, but return whole records with their offsets."""
+    records: list[Record] = []
+    log, damage = read_log(directory, name, files, records.append)
+    return log, [] if isinstance(damage, Corrupt) else records, damage
+
+
+def read_log(
+    directory: str, name: str, files: Files, on_record: Callable[[Record], None]
+) -> tuple[WriteAheadLog, Torn | Corrupt | None]:
+    """Open a log and pass its records to `on_record` one by one; return the log and the damage found in its file.
+
+    If the file is Corrupt, the log starts empty, and the caller must discard the records that it was passed.
+    """
     files.makedirs(directory, exist_ok=True)
-    log = WriteAheadLog(directory, name, files)
-    data = files.read(log.path) if files.exists(log.path) else b""
-    scanned, damage = scan(data), None
-    if scanned.corrupt:
-        damage = quarantine(log, scanned.end)
-        data, scanned = b"", Scan()
-    elif scanned.end < len(data):
-        damage = Torn(log.path, scanned.end)
-    log.fd = files.open(log.path, APPEND_FLAGS, 0o644)
-    sync_recovered(log, data, scanned)
+    log, damage = WriteAheadLog(directory, name, files), None
+    with FileReader(files, log.path) as reader:
+        scanned = scan(reader.read, reader.size, on_record)
+        if scanned.corrupt:
+            damage = quarantine(log, scanned.end)
+            scanned = Scan()
+        elif scanned.end < reader.size:
+            damage = Torn(log.path, scanned.end)
+        log.fd = files.open(log.path, APPEND_FLAGS, 0o644)
+        if not isinstance(damage, Corrupt):
+            sync_recovered(log, reader, scanned)
     log.serial, log.checksum = scanned.serial, scanned.checksum
     log.size = log.synced_bytes = scanned.end
     sync_directory(files, directory)
-    return log, scanned.records, damage
+    return log, damage
 
 
 def quarantine(log, offset):
@@ -98,32 +114,38 @@
     return Corrupt(log.path, offset, moved_to)
 
 
-def sync_recovered(log, data, scanned):
+def sync_recovered(log, reader, scanned):
     """Truncate the torn end of the file, write again what isn't proven to be synced, and sync.
 
     After a failed sync the kernel may mark pages clean that never reached the disk; a sync alone would skip those.
     """
-    if not data:
+    if not reader.size:
         return
-    if scanned.end < len(data):
+    if scanned.end < reader.size:
         log.files.ftruncate(log.fd, scanned.end)
     if scanned.synced_bytes < scanned.end:
-        write_again(log, data[scanned.synced_bytes : scanned.end], scanned.synced_bytes)
+        write_again(log, reader, scanned.synced_bytes, scanned.end)
     log.files.fsync(log.fd)
 
 
-def write_again(log, data, offset):
+def write_again(log, reader, start, end):
     """Overwrite part of the file with the bytes read from it, which marks its pages dirty."""
     fd = log.files.open(log.path, os.O_WRONLY)
     try:
-        view = memoryview(data)
-        while view:
-            written = log.files.pwrite(fd, view, offset)
-            view, offset = view[written:], offset + written
+        for offset in range(start, end, WRITE_CHUNK_BYTES):
+            write_at(log.files, fd, reader.read(offset, min(WRITE_CHUNK_BYTES, end - offset)), offset)
     finally:
         log.files.close(fd)
 
 
+def write_at(files, fd, data, offset):
+    """Write all of the data at an offset; a single write may take fewer bytes."""
+    view = memoryview(data)
+    while view:
+        written = files.pwrite(fd, view, offset)
+        view, offset = view[written:], offset + written
+
+
 def sync_directory(files: Files, directory: str) -> None:
     """Make the entries of a directory durable."""
     fd = files.open(directory, os.O_RDONLY)
@@ -133,7 +155,7 @@
         files.close(fd)
 
 
-def append(log: WriteAheadLog, payloads: list[bytes]) -> None:
+def append(log: WriteAheadLog, payloads: Iterable[bytes]) -> None:
     """Write records at the end of the file, without a sync; a failed write leaves the log unchanged."""
     buffers: list[bytes] = []
     serial, checksum, size, buffered_bytes = log.serial, log.checksum, log.size, 0
@@ -154,14 +176,26 @@
 
 
 def write_all(log, buffers):
-    """Write the buffers to the end of the file and return their total size in bytes."""
-    data = b"".join(buffers)
-    view = memoryview(data)
-    while view:
-        view = view[log.files.write(log.fd, view[:WRITE_CHUNK_BYTES]) :]
-        if log.sync_each_chunk and view:
-            log.files.fdatasync(log.fd)
-    return len(data)
+    """Write the buffers to the end of the file and return their total size in bytes.
+
+    A buffer of more than a chunk is written by itself, without being copied.
+    """
+    views = [memoryview(data) for data in join_small(buffers)]
+    for position, view in enumerate(views):
+        while view:
+            view = view[log.files.write(log.fd, view[:WRITE_CHUNK_BYTES]) :]
+            if log.sync_each_chunk and (view or position + 1 < len(views)):
+                log.files.fdatasync(log.fd)
+    return sum(len(view) for view in views)
+
+
+def join_small(buffers):
+    """Return the buffers with those of less than a chunk joined to their neighbours, in the same order."""
+    joined: list[bytes] = []
+    for large, group in groupby(buffers, lambda buffer: len(buffer) > WRITE_CHUNK_BYTES):
+        neighbours = list(group)
+        joined += neighbours if large else [b"".join(neighbours)]
+    return joined
 
 
 def truncate_failed_write(log):
@@ -192,53 +226,6 @@
         truncate_failed_write(log)
 
 
-def prepare_replacement(log: WriteAheadLog, payloads: list[bytes]) -> WriteAheadLog:
-    """Write and sync a file that can replace the log, while records are still appended to the log."""
-    replacement = WriteAheadLog(log.directory, f"{log.name}.new", log.files, sync_each_chunk=True)
-    replacement.fd = log.files.open(replacement.path, APPEND_FLAGS | os.O_TRUNC, 0o644)
-    try:
-        append_and_sync(replacement, payloads)
-    except OSError:
-        close(replacement)
-        raise
-    return replacement
-
-
-def append_and_sync(replacement, payloads):
-    """Append records to a replacement file and sync it.
-
-    Unlike in `sync`, a failed sync raises a plain OSError: no durable state depends on the file yet.
-    """
-    append(replacement, payloads)
-    replacement.files.fsync(replacement.fd)
-    replacement.synced_bytes = replacement.size
-
-
-def install_replacement(log: WriteAheadLog, replacement: WriteAheadLog, payloads: list[bytes]) -> None:
-    """Replace the log's file by a prepared one, after adding the payloads appended to the log in the meantime."""
-    try:
-        if payloads:
-            append_and_sync(replacement, payloads)
-    except OSError:
-        close(replacement)
-        raise
-    old_fd = log.fd
-    try:
-        log.files.replace(replacement.path, log.path)
-        log.fd, log.serial, log.checksum = replacement.fd, replacement.serial, replacement.checksum
-        log.size, log.synced_bytes = replacement.size, replacement.synced_bytes
-        write_sync_marker(log)
-        log.files.close(old_fd)
-        sync_directory(log.files, log.directory)
-    except OSError as error:
-        raise SyncLostError(*error.args) from error
-
-
-def rewrite(log: WriteAheadLog, payloads: list[bytes]) -> None:
-    """Replace the whole contents of the log."""
-    install_replacement(log, prepare_replacement(log, payloads), [])
-
-
 def close(log: WriteAheadLog) -> None:
     """Close the log's file."""
     if log.fd >= 0:
--- a/frostpost/write_ahead_log/records.py
+++ b/frostpost/write_ahead_log/records.py
@@ -8,10 +8,11 @@
 remains of a truncated write are never read as a continuation of the log.
 """
 
+from collections.abc import Callable
 from struct import Struct as Layout
 from zlib import crc32
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 MAGIC = b"\xf0\x58"
 SYNC_MARKER_MAGIC = b"\xf0\x5a"
@@ -39,13 +40,12 @@
 
 
 class Scan(Struct):
-    """The valid records at the start of a file, and the position at which they end.
+    """The position at which the valid records at the start of a file end, and what they prove.
 
-    `synced_bytes` is the synced length that the records prove; `corrupt` is set if synced bytes after `end` are
-    damaged.
+    `serial` and `checksum` are those of the last record, `synced_bytes` is the synced length that the records prove;
+    `corrupt` is set if synced bytes after `end` are damaged.
     """
 
-    records: list[Record] = []
     end: int = 0
     serial: int = 0
     checksum: int = 0
@@ -67,6 +67,16 @@
     return encode_header(serial, b"", synced_bytes, previous_checksum, SYNC_MARKER_MAGIC)
 
 
+def record_bytes(header: bytes) -> int:
+    """Return the length of the record that begins with these bytes, which its header claims; 0 if it is none."""
+    magic = header[: len(MAGIC)]
+    if magic in (MAGIC, SYNC_MARKER_MAGIC) and len(header) >= HEADER.size:
+        return HEADER.size + HEADER.unpack_from(header)[1]
+    if magic == MAGIC_V1 and len(header) >= HEADER_V1.size:
+        return HEADER_V1.size + HEADER_V1.unpack_from(header)[1]
+    return 0
+
+
 def read_record(data: bytes, offset: int) -> Record | None:
     """Return the valid record that starts at the offset, or None."""
     magic = data[offset : offset + len(MAGIC)]
@@ -103,36 +113,52 @@
     return Record(offset, start + length, serial, payload, checksum)
 
 
-def scan(data: bytes) -> Scan:
-    """Read records up to the first offset without a valid successor of the record before it."""
+def scan(read: Callable[[int, int], bytes], size: int, on_record: Callable[[Record], None]) -> Scan:
+    """Read records up to the first offset without a valid successor of the record before it.
+
+    `read(offset, length)` returns bytes of the file, which has this size; `on_record` gets each record in turn.
+    """
     scanned = Scan()
-    while scanned.end < len(data):
-        record = read_record(data, scanned.end)
+    while scanned.end < size:
+        record = read_record_at(read, size, scanned.end)
         if record is None or not follows(record, scanned.serial, scanned.checksum):
-            scanned.corrupt = was_synced(data, scanned.end, scanned.serial)
+            rest = read(scanned.end, size - scanned.end)
+            scanned.corrupt = was_synced(rest, scanned.end, scanned.serial)
             return scanned
         if not record.is_sync_marker:
-            scanned.records.append(record)
+            on_record(record)
         scanned.end, scanned.serial, scanned.checksum = record.end, record.serial, record.checksum
         scanned.synced_bytes = max(scanned.synced_bytes, record.synced_bytes or 0)
     return scanned
 
 
+def read_record_at(read, size, offset):
+    """Return the valid record at an offset of the file, or None; a record longer than the file isn't read."""
+    length = record_bytes(read(offset, HEADER.size))
+    if not length or offset + length > size:
+        return None
+    record = read_record(read(offset, length), 0)
+    if record is None:
+        return None
+    return structs.replace(record, offset=offset, end=offset + record.end)
+
+
 def follows(record, serial, checksum):
     """Return whether a record is the successor of the record with this serial number and checksum."""
     expected = serial if record.is_sync_marker else serial + 1
     return record.serial == expected and record.previous_checksum in (None, checksum)
 
 
-def was_synced(data, bad_offset, serial):
+def was_synced(rest, bad_offset, serial):
     """Return whether a valid record after the invalid one proves that the file was synced past `bad_offset`.
 
-    Records of format 1 don't store the synced length and always count as proof.
+    `rest` holds the bytes of the file from that offset on. Records of format 1 don't store the synced length and always
+    count as proof.
     """
     return any(
         record.serial > serial and (record.synced_bytes is None or record.synced_bytes > bad_offset)
         for magic in (MAGIC, SYNC_MARKER_MAGIC, MAGIC_V1)
-        for record in find_valid_records(data, magic, bad_offset + 1)
+        for record in find_valid_records(rest, magic, 1)
     )
 
 
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -25,7 +25,6 @@
 class ModelFiles(Files, frozen=True):
     """The file operations of the log and of the turn store."""
 
-    pread: Callable = os.pread
     unlink: Callable = os.unlink
     listdir: Callable = os.listdir
 
@@ -186,7 +185,7 @@
         unlink=unlink,
         exists=lambda path: path in disk.names,
         makedirs=lambda path, exist_ok: None,
-        read=lambda path: content(disk.names[path]),
+        size=lambda path: len(content(disk.names[path])),
         pread=lambda handle, length, offset: content(disk.handles[handle][1])[offset : offset + length],
         listdir=lambda directory: [os.path.basename(p) for p in disk.names if os.path.dirname(p) == directory],
     )
--- a/tests/fleet_simulator/world.py
+++ b/tests/fleet_simulator/world.py
@@ -203,7 +203,6 @@
     return BodyFiles(
         **{field: getattr(base, field) for field in base.__struct_fields__},
         unlink=unlink,
-        pread=lambda fd, length, offset: bytes(disk.handles[fd].data[offset : offset + length]),
         listdir=lambda folder: [os.path.basename(p) for p in disk.names if os.path.dirname(p) == folder],
     )
 
--- a/tests/test_cluster_replica_daemon.py
+++ b/tests/test_cluster_replica_daemon.py
@@ -9,6 +9,7 @@
 from frostpost.cluster import agent_sessions, assembly, replica_daemon
 from frostpost.cluster.settings import DaemonSettings
 from frostpost.daemon import disk as disks
+from frostpost.daemon import stored_log
 from frostpost.daemon.machine import Machine
 from frostpost.simulator import simulated_disk
 from frostpost.virtual_synchrony.agent_messages import DirectoryReply, DirectoryRequest, LeaseRequest
@@ -39,7 +40,7 @@
         lambda data, machine, **options: open_store(data, machine, files_of(disk), **options),
     )
     if records:
-        write_ahead_log, _, _ = disks.open_log("/data", machine.files)
+        write_ahead_log, _, _ = stored_log.open_log("/data", machine.files)
         write_ahead_logs.append(write_ahead_log, [disks.encode(r) for r in records])
     settings = DaemonSettings("s1", "storage", "z", "h", 1, seeds=("h:7", "h:8"), first_start=first_start, data="/data")
     stopped = []
--- a/tests/test_disk_crashes.py
+++ b/tests/test_disk_crashes.py
@@ -9,6 +9,7 @@
 
 from frostpost.write_ahead_log import log as logs
 from frostpost.write_ahead_log import records
+from frostpost.write_ahead_log import replacement as replacements
 
 MAX_STATES = int(os.environ.get("DISK_STATES", "150"))
 SECOND_FAILURE_INTERVAL = 5
@@ -74,17 +75,17 @@
     def rewrite(self):
         payloads = self.make_payloads(2)
         self.history.record_written(payloads, payloads)
-        logs.rewrite(self.log, payloads)
+        replacements.rewrite(self.log, payloads)
         self.history.record_synced(payloads)
 
     def rewrite_during_appends(self):
-        replacement = logs.prepare_replacement(self.log, payloads := self.make_payloads(2))
+        replacement = replacements.prepare_replacement(self.log, payloads := self.make_payloads(2))
         before = self.history.written
         self.append(2)
         self.sync()
         contents = (*payloads, *self.history.written[len(before) :])
         self.history.record_written(contents, contents)
-        logs.install_replacement(self.log, replacement, list(contents[2:]))
+        replacements.install_replacement(self.log, replacement, list(contents[2:]))
         self.history.record_synced(contents)
 
     def kill(self):
@@ -224,8 +225,8 @@
     assert check(script, block_bytes=block_bytes) > 500
 
 
-def corrupt_if_any_record_follows(data, bad_offset, serial):
-    return any(r.serial > serial for r in records.find_valid_records(data, records.MAGIC, bad_offset + 1))
+def corrupt_if_any_record_follows(rest, bad_offset, serial):
+    return any(r.serial > serial for r in records.find_valid_records(rest, records.MAGIC, 1))
 
 
 def prepare_without_sync(log, payloads):
@@ -242,8 +243,13 @@
         corrupt_if_any_record_follows,
         kills,
     ),
-    "recovered records are not synced": (logs, "sync_recovered", lambda log, data, scanned: None, kills),
-    "recovered records are not written again": (logs, "write_again", lambda log, data, offset: None, failing_syncs),
+    "recovered records are not synced": (logs, "sync_recovered", lambda log, reader, scanned: None, kills),
+    "recovered records are not written again": (
+        logs,
+        "write_again",
+        lambda log, reader, start, end: None,
+        failing_syncs,
+    ),
     "the checksum of the preceding record is not compared": (
         records,
         "follows",
@@ -252,7 +258,7 @@
     ),
     "a failed write is not truncated": (logs, "truncate_failed_write", lambda log: None, full_disk),
     "a replacement file is not synced before it is installed": (
-        logs,
+        replacements,
         "prepare_replacement",
         prepare_without_sync,
         rewrites,
--- a/tests/test_disk_crashes_of_users.py
+++ b/tests/test_disk_crashes_of_users.py
@@ -12,10 +12,12 @@
 from frostpost.cluster import address_store, assembly, bootstrap, replica_daemon
 from frostpost.daemon import disk as keepers
 from frostpost.daemon import log_compaction as rewritings
+from frostpost.daemon import stored_log
 from frostpost.daemon.context import TestHooks
 from frostpost.turn_store import segments
 from frostpost.virtual_synchrony.events import ProbeRecord, PromiseRecord, RewriteLog, SnapshotRecord
 from frostpost.write_ahead_log import log as logs
+from frostpost.write_ahead_log import replacement
 
 STATES = int(os.environ.get("DISK_STATES", "150")) // 3
 FOLDER = "/data"
@@ -124,7 +126,7 @@
     held = address_store.open_address_store(FOLDER, machine)
     for addresses in (["h:1"], ["h:1", "h:2"], ["h:2", "h:3"]):
         notes.tried[len(notes.tried)] = tuple(addresses)
-        logs.rewrite(held.write_ahead_log, [address_store.msgpack.encode(addresses)])
+        replacement.rewrite(held.write_ahead_log, [address_store.msgpack.encode(addresses)])
         notes.lasting = {"addresses": tuple(addresses)}
 
 
@@ -173,7 +175,8 @@
         core = SimpleNamespace(synchrony=SimpleNamespace(bounds=Bounds()), snapshots=SimpleNamespace(busy=False))
         self.ctx = SimpleNamespace(machine=machine, hooks=TestHooks(), core=core, counts={}, stepping=True, inputs=self)
         self.ctx.lifecycle = SimpleNamespace(crash=lambda: self.crashed.append(True))
-        log, self.records, self.fault = keepers.open_log(FOLDER, machine.files)
+        self.records = []
+        log, self.fault = stored_log.read_records(FOLDER, machine.files, self.records.append)
         self.keeper = keepers.LogWriter(self.ctx, log)
 
     def append(self, input):
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -16,13 +16,19 @@
     return stored_data.load()
 
 
+def records_of(data):
+    found = []
+    records.scan(lambda offset, length: data[offset : offset + length], len(data), found.append)
+    return found
+
+
 def test_the_recording_has_a_snapshot_entries_bodies_and_a_charter(stored):
     files = stored.files["storage-z0-1"]
     decode = msgpack.Decoder(Record).decode
-    kinds = [type(decode(r.payload)) for r in records.scan(files["/storage-z0-1/log"]).records]
+    kinds = [type(decode(r.payload)) for r in records_of(files["/storage-z0-1/log"])]
     assert SnapshotRecord in kinds and EntryRecord in kinds
-    assert records.scan(files["/storage-z0-1/silo/00000001"]).records
-    assert records.scan(stored.files["core-z0-1"]["/core-z0-1/charter"]).records
+    assert records_of(files["/storage-z0-1/silo/00000001"])
+    assert records_of(stored.files["core-z0-1"]["/core-z0-1/charter"])
     assert len(stored.summary.turns) > 100 and len(stored.summary.keys) > 10
 
 
--- a/tests/test_turn_store_disk.py
+++ b/tests/test_turn_store_disk.py
@@ -21,7 +21,6 @@
     }
     return BodyFiles(
         **{field: getattr(base, field) for field in base.__struct_fields__},
-        pread=lambda fd, length, offset: bytes(disk.handles[fd].data[offset : offset + length]),
         unlink=lambda path: disk.names.pop(path),
         **directory_operations,
     )
@@ -87,4 +86,4 @@
     files.fsync(files.open("/data", os.O_RDONLY))
     files.open("/data/b", os.O_CREAT)
     lose_unsynced(disk)
-    assert files.listdir("/data") == ["a"] and files.read("/data/a") == b"one"
+    assert files.listdir("/data") == ["a"] and files.pread(files.open("/data/a", os.O_RDONLY), 10, 0) == b"one"
--- a/tests/test_write_ahead_log.py
+++ b/tests/test_write_ahead_log.py
@@ -7,7 +7,7 @@
 
 from frostpost.daemon.machine import Files
 from frostpost.simulator import simulated_disk
-from frostpost.write_ahead_log import log
+from frostpost.write_ahead_log import log, replacement
 from frostpost.write_ahead_log.records import HEADER, HEADER_V1, MAGIC_V1
 
 
@@ -80,7 +80,7 @@
 def test_rewrite_replaces_contents_and_later_appends_follow(tmp_path):
     write_ahead_log, _, _ = log.open_log(str(tmp_path), "log")
     log.append(write_ahead_log, [b"x"] * 50)
-    log.rewrite(write_ahead_log, [b"short"])
+    replacement.rewrite(write_ahead_log, [b"short"])
     log.append(write_ahead_log, [b"more"])
     log.close(write_ahead_log)
     assert log.open_log(str(tmp_path), "log")[1] == [b"short", b"more"]
@@ -90,7 +90,7 @@
 def append_and_rewrite(write_ahead_log, synced):
     for number in range(12):
         if number == 6:
-            log.rewrite(write_ahead_log, [b"state", *(b"%d" % n for n in range(number + 1))])
+            replacement.rewrite(write_ahead_log, [b"state", *(b"%d" % n for n in range(number + 1))])
         else:
             log.append(write_ahead_log, [b"%d" % number])
             log.sync(write_ahead_log)
@@ -123,7 +123,7 @@
             append_and_rewrite(write_ahead_log, synced) if number == 3 else log.append(
                 write_ahead_log, [b"x%d" % number]
             )
-            log.rewrite(write_ahead_log, [b"y%d" % number])
+            replacement.rewrite(write_ahead_log, [b"y%d" % number])
         except OSError as error:
             errors += 1
             if isinstance(error, log.SyncLostError):
