Refuse documents over 8 MiB with 413, and give operations their time after parsing

Cause: the 500 ms of a control call's operation counted from the call's arrival, and parsing 8 MB took longer, so the operation's time was up before it was sent. Nothing told documents that can't be delivered from those that can.

Change: an operation has its time from the end of parsing on, within the response's. A document, or the result of a change, over 8 MiB is answered 413 with the limit; up to 8 MiB it is ordered, sent to all daemons and read back.

--- a/frostpost/platform/call_deadlines.py
+++ b/frostpost/platform/call_deadlines.py
@@ -18,12 +18,17 @@
     response_ms: int
 
 
-def call_deadlines(agent, body_bytes=0):
-    """Return the Deadlines of a call that has just arrived."""
+def call_deadlines(agent, body_bytes=0, arrived_ms=None):
+    """Return the Deadlines of a call that arrived at `arrived_ms`, by default now, and has been parsed.
+
+    The caller waits from the arrival on. An operation has its time from now on, as parsing a large body may take longer
+    than that.
+    """
     current_ms = now_ms(agent)
+    arrived_ms = current_ms if arrived_ms is None else arrived_ms
     ratio = OPERATION_RATIO if holds_lease(agent) else UNLEASED_OPERATION_RATIO
-    response_ms = int(CALLER_TIMEOUT_MS * RESPONSE_RATIO) + body_bytes // UPLOAD_BYTES_PER_MS
-    return Deadlines(current_ms + int(CALLER_TIMEOUT_MS * ratio), current_ms + response_ms)
+    response_ms = arrived_ms + int(CALLER_TIMEOUT_MS * RESPONSE_RATIO) + body_bytes // UPLOAD_BYTES_PER_MS
+    return Deadlines(min(response_ms, current_ms + int(CALLER_TIMEOUT_MS * ratio)), response_ms)
 
 
 def remaining_ms(agent, deadline_ms):
--- a/frostpost/platform/control.py
+++ b/frostpost/platform/control.py
@@ -19,12 +19,14 @@
 
 from . import document_changes, header_names, routing
 from .call_deadlines import call_deadlines, remaining_ms
+from .control_errors import MAX_DOCUMENT_BYTES, DocumentTooLarge, ErrorResponse, VersionConflict
 from .document_validation import MAX_ISSUE
 from .server import Server, reply
 from .strict_json import RoutingInvalid, parse_json
 
 RETRY_MS, MAX_CONNECTIONS = 100, 128
-CLIENT_BOUNDS = ClientBounds(body_bytes=64 << 20)
+# Bodies up to this size are read, so that the response to one over MAX_DOCUMENT_BYTES can tell the limit.
+CLIENT_BOUNDS = ClientBounds(body_bytes=2 * MAX_DOCUMENT_BYTES)
 JSON_HEADER = (b"Content-Type", b"application/json")
 PATH_PREFIX = b"/frostpost/"
 RETIREMENT_STATUS = {"in_service": 200, "completed": 200, "unknown": 404, "few": 409}
@@ -42,19 +44,6 @@
     build: object
 
 
-class VersionConflict(Struct, frozen=True, tag="RoutingMoved"):
-    """The change is based on a version that is not the current one."""
-
-    version: int
-
-
-class ErrorResponse(Struct, frozen=True):
-    """HTTP status and error body of a call that failed."""
-
-    status: int
-    error: object
-
-
 def control_client():
     """Return the module `cluster.control_client`, imported on first use, as edge daemons never need it."""
     return import_module("frostpost.cluster.control_client")
@@ -110,7 +99,12 @@
     if change.issue <= current.version:
         return Error(ErrorResponse(400, RoutingInvalid("issue", "is not above the current one")))
     built = change.build(routing.document_from_body(current.body))
-    return built.map(lambda parsed: routing.encode_body(parsed[0])).map_error(lambda error: ErrorResponse(400, error))
+    if built.is_error():
+        return Error(ErrorResponse(400, built.error))
+    body = routing.encode_body(built.ok[0])
+    if len(body) > MAX_DOCUMENT_BYTES:
+        return Error(ErrorResponse(413, DocumentTooLarge(len(body))))
+    return Ok(body)
 
 
 @inlineCallbacks
@@ -148,11 +142,15 @@
 @inlineCallbacks
 def handle_change(agent, request, kind):
     """Handle a change of the configuration; `kind` is "replace" or "modify"."""
-    started_ms, deadlines = now_ms(agent), call_deadlines(agent, len(request.body))
+    started_ms = now_ms(agent)
+    if len(request.body) > MAX_DOCUMENT_BYTES:
+        reply_error(request, 413, DocumentTooLarge(len(request.body)))
+        return
     change = parse_routing_change(request, kind)
     if change.is_error():
         reply_error(request, 400, change.error)
         return
+    deadlines = call_deadlines(agent, len(request.body), started_ms)
     result = yield submit_change(agent, change.ok, deadlines)
     if result.is_ok():
         reply(request, 200, json.encode({"issue": change.ok.issue}), [JSON_HEADER])
