Keep a client's ids under its tenant on keyless routes too

Cause: the scope of ids was the tenant's name, but empty on keyless routes, so that a client whose credential is removed there keeps its ids. All ids changed their scope with the flag, and all tenants shared one scope while it was set.

Change: the scope is the tenant that holds the credential on every route, or else the last one that held it. The stored body names the holders of removed credentials, by digest and the newest 1,024 at most, so every daemon knows them with the version. Such a credential admits nobody, and gets no X-Subscriber.

Why it works: the scope no longer depends on the flag, and tenants never share one; a credential's removal leaves its scope as it was. Bodies without removed credentials are stored byte for byte as before, and earlier builds read the new ones.

--- a/frostpost/platform/control.py
+++ b/frostpost/platform/control.py
@@ -101,7 +101,7 @@
     built = change.build(routing.document_from_body(current.body))
     if built.is_error():
         return Error(ErrorResponse(400, built.error))
-    body = routing.encode_body(built.ok[0])
+    body = routing.encode_body(built.ok[0], current.body)
     if len(body) > MAX_DOCUMENT_BYTES:
         return Error(ErrorResponse(413, DocumentTooLarge(len(body))))
     return Ok(body)
--- a/frostpost/platform/documents.py
+++ b/frostpost/platform/documents.py
@@ -64,6 +64,12 @@
     precedence: int | None = None
 
 
+class Subscribers(Struct):
+    """The tenants of a document alone."""
+
+    subscribers: list[SubscriberItem] | None | UnsetType = UNSET
+
+
 class BoundsItem(Struct, rename="kebab"):
     """Bounds on client requests: bytes of header and body, milliseconds for the header and for idle connections."""
 
--- a/frostpost/platform/routing.py
+++ b/frostpost/platform/routing.py
@@ -12,7 +12,8 @@
 from frostpost.proxy.models import ClientBounds, Route, Routing, ScalingBounds, Service, Tenant
 
 from .document_validation import DOCUMENT_VALIDATOR, document_errors, route_weights, validate_schema
-from .documents import BoundsItem, Document, Engine
+from .documents import BoundsItem, Document, Engine, Subscribers
+from .former_credentials import former_holders
 from .strict_json import RoutingInvalid, parse_json
 
 ROUTE_CLASSES = ("safe", "unsafe", "idempotent", "streaming")
@@ -21,10 +22,14 @@
 EMPTY_DOCUMENT = b'{"issue":0,"route-table":[],"service-table":[]}'
 
 
-class StoredDocument(Struct):
-    """The body that is stored for one version."""
+class StoredDocument(Struct, omit_defaults=True):
+    """The body that is stored for one version.
+
+    former_holders: tenants of credentials that earlier versions held, by the digest of the credential.
+    """
 
     document: Raw
+    former_holders: dict[str, str] = {}
 
 
 def to_milliseconds(value, default=0):
@@ -95,6 +100,11 @@
     }
 
 
+def holders_of(document):
+    """Return the names of a document's tenants by the digests of their credentials."""
+    return {digest: tenant.name for digest, tenant in (build_tenants(document.subscribers) or {}).items()}
+
+
 def build_bounds(item):
     """Convert the document's bounds on clients into ClientBounds."""
     item, default = item or BoundsItem(), ClientBounds()
@@ -106,14 +116,15 @@
     )
 
 
-def build_routing(document):
-    """Convert a valid document into Routing."""
+def build_routing(document, former_tenants=None):
+    """Convert a valid document into Routing. former_tenants: names of tenants by digest of a former credential."""
     return Routing(
         version=document.issue,
         routes=tuple(map(build_route, document.route_table)),
         services={item.name: build_service(item) for item in document.service_table},
         bounds=build_bounds(document.limits),
         tenants=build_tenants(document.subscribers),
+        former_tenants=former_tenants or {},
     )
 
 
@@ -141,10 +152,19 @@
     return sha256(f"{kind} {json.dumps(document, sort_keys=True)}".encode()).digest()[:DIGEST_BYTES]
 
 
-def encode_body(document):
-    """Encode a document into the bytes that are stored and distributed to all daemons."""
+def encode_body(document, replaced_body=b""):
+    """Encode a document into the bytes that are stored and distributed to all daemons.
+
+    replaced_body: the stored body of the version that the document replaces, empty if there is none.
+    """
     text = json.dumps(document, separators=(",", ":"), allow_nan=False).encode()
-    return msgspec.json.encode(StoredDocument(Raw(text)))
+    former = {}
+    if replaced_body:
+        stored = msgspec.json.decode(replaced_body, type=StoredDocument)
+        replaced = msgspec.json.decode(stored.document, type=Subscribers)
+        after = holders_of(msgspec.convert(document, Subscribers))
+        former = former_holders(stored.former_holders, holders_of(replaced), after)
+    return msgspec.json.encode(StoredDocument(Raw(text), former))
 
 
 def document_from_body(body):
@@ -154,4 +174,7 @@
 
 def routing_from_body(body):
     """Decode a stored body into Routing."""
-    return build_routing(msgspec.json.decode(document_from_body(body), type=Document))
+    if not body:
+        return build_routing(msgspec.json.decode(EMPTY_DOCUMENT, type=Document))
+    stored = msgspec.json.decode(body, type=StoredDocument)
+    return build_routing(msgspec.json.decode(stored.document, type=Document), stored.former_holders)
--- a/frostpost/proxy/credentials.py
+++ b/frostpost/proxy/credentials.py
@@ -38,6 +38,16 @@
     return tenant
 
 
+def id_scope_of(routing, tenant, call):
+    """Return the tenant whose ids a request uses: the one that holds its credential, or else the last one that did.
+
+    It is the same on routes with and without a required credential, since a change may turn one into the other. The
+    result is empty for clients whose credential was never known.
+    """
+    name = tenant.name or routing.former_tenants.get(call.credential, "")
+    return name if is_tenant_name(name) else ""
+
+
 def ranked_for(tenant, route):
     """Return the route with the rank of the tenant's requests: by the tenant's rank, then by the route's."""
     if not tenant.rank:
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -71,7 +71,8 @@
 class Routing(Struct, frozen=True):
     """One version of the routing configuration.
 
-    tenants: by digest of their credentials; None if requests need no credential.
+    tenants: by digest of their credentials; None if requests need no credential. former_tenants: names of the tenants
+    that earlier versions knew by a credential which this one doesn't know, by its digest.
     """
 
     version: int
@@ -79,6 +80,7 @@
     services: dict[str, Service]
     bounds: ClientBounds = ClientBounds()
     tenants: dict[str, Tenant] | None = None
+    former_tenants: dict[str, str] = {}
 
 
 class Runner(Struct, frozen=True):
--- a/frostpost/proxy/serve.py
+++ b/frostpost/proxy/serve.py
@@ -6,7 +6,7 @@
 from frostpost.cluster.agent_context import count, now_ms
 from frostpost.cluster.lease_waiters import lease_lost_at_ms, may_serve, wait_for_lease
 
-from .credentials import authenticate, ranked_for
+from .credentials import authenticate, id_scope_of, ranked_for
 from .decision_record import RequestObserver
 from .failures import BadRequest, Leaving, NoRoute, Overloaded, Unavailable
 from .forwarding import deliver, retry_ms, serve_unordered
@@ -107,8 +107,7 @@
         if not isinstance(admitted, Admitted):
             return deliver(agent, admitted, sink)
         route, call.tenant = admitted.route, admitted.tenant.name
-        # On a keyless route a client keeps its ids when its credential changes.
-        call.id_scope = "" if route.is_keyless else call.tenant
+        call.id_scope = id_scope_of(agent.routing, admitted.tenant, call)
         observer.route = route.name
         yield HANDLERS[route.kind](agent, route, admitted.service, call, sink, admitted.until_ms, watcher)
     finally:
