Put back three reasons that the rewording of comments had dropped

Missing were: what happens to attempts beyond MAX_QUEUED and why waiting in one place matters, why idle slots cost, and what bounds extra slots. No code is changed.

--- a/frostpost/cluster/admission_queue.py
+++ b/frostpost/cluster/admission_queue.py
@@ -1,7 +1,8 @@
 """Queue of BeginAttempt operations that wait at the leader until a runner has a free slot.
 
 A BeginAttempt without a free slot changes nothing in the ledger, so its refusal need not be ordered. The leader queues
-it by urgency and submits it once a slot is free; agents need not retry. The queue is soft state: after a change of
+it by urgency and submits it once a slot is free; agents need not retry, and all that wait for the same runners wait in
+one place, where their urgency can be compared. The queue is soft state: after a change of
 leader, agents resend undecided operations and the new leader builds its own queue.
 """
 
@@ -14,6 +15,7 @@
 from frostpost.program_ledger.placement import free_slots
 from frostpost.program_ledger.turns import is_waiting_for_slot
 
+# Further attempts are refused at once.
 MAX_QUEUED = 2048
 RETRY_MS = 20
 
--- a/frostpost/proxy/slot_overhead.py
+++ b/frostpost/proxy/slot_overhead.py
@@ -1,8 +1,8 @@
 """Estimation of how many attempts the ledger may assign to a runner to keep its slots busy.
 
 The ledger counts an attempt at its runner from the decision of its begin to the decision of its end, but the runner
-executes it only for part of that time; the rest is message latency. To avoid leaving slots idle, the ledger is offered
-extra slots in proportion to the measured latency.
+executes it only for part of that time; the rest is message latency. Slots that are counted but idle would be refused to
+other attempts, so the ledger is offered extra slots in proportion to the measured latency.
 """
 
 from msgspec import Struct
@@ -11,7 +11,7 @@
 SMOOTHING = 0.1
 # Ledger rounds during which an attempt is counted but not executing: its end, and half of its begin.
 IDLE_ROUNDS = 1.5
-# Further attempts would only wait in the runner's own queue.
+# At most as many extra slots as the runner has: further attempts would only wait in the runner's own queue.
 MAX_EXTRA_RATIO = 1.0
 
 
