Give the simulation's replicas a memory, so that a log that grows is found by a seed

What the protocol holds for a replica (log, unsafe entries, outbox) is compared with a limit after each step, if a run sets one.

--- a/frostpost/simulator/play.py
+++ b/frostpost/simulator/play.py
@@ -10,6 +10,7 @@
 from .core_faults import FAULTS, end_all_faults
 from .evs_checks import Violation, find_evs_violations
 from .ledger_checks import find_ledger_violations
+from .memory_bounds import is_exceeded
 from .storm import BUDGET, Load, observer, run_load, schedule_faults, serves, watch_leases
 
 STORM_MS = 14000
@@ -56,10 +57,12 @@
     gap_ms=2500,
     voters=0,
     limits=None,
+    memory_bytes=0,
 ):
     """Simulate one seeded run with faults for `storm_ms`, then without; return (world, Report)."""
     bounds = bounds or (SMALL_BOUNDS if seed % 2 else None)
     world = worlds.create_world(seed, edges, storages, cores, bounds, voters, limits)
+    world.memory.max_bytes = memory_bytes
     random = Random(seed * 7919 + 1)
     load = Load(random, until_ms=storm_ms + 3000)
     world.on_notification = observer(load)
@@ -82,6 +85,8 @@
         *find_evs_violations(world.history, world.last_ordinals),
         *find_ledger_violations(world, BUDGET),
     ]
+    if is_exceeded(world.memory):
+        violations.append(Violation("memory", f"{world.memory.largest_name} used {world.memory.largest_bytes} bytes"))
     if recovery_ms < 0:
         violations.append(Violation("back", f"not served again {RECOVERY_TIMEOUT_MS} ms after the healing"))
     installs = sum(n.core.synchrony.counts.get("installs", 0) for n in world.nodes.values() if n.core)
--- a/frostpost/simulator/world.py
+++ b/frostpost/simulator/world.py
@@ -13,8 +13,9 @@
 from frostpost.virtual_synchrony.events import LogSynced, MessageReceived, RewriteLog, TimerTick
 from frostpost.virtual_synchrony.messages import EntryBatch
 
-from . import link_limits
+from . import link_limits, memory_bounds
 from .link_limits import LinkLimits, LinkQueues
+from .memory_bounds import MemoryBound
 from .node import Node
 
 
@@ -39,6 +40,7 @@
     on_notification: object = None
     power_cut_pending: bool = False
     link_queues: LinkQueues = field(default_factory=LinkQueues)
+    memory: MemoryBound = field(default_factory=MemoryBound)
 
 
 def create_world(seed, edges=2, storages=3, cores_count=2, bounds=None, voters=0, limits=None):
@@ -122,6 +124,8 @@
         node.queue.append(input)
         return
     node.core, out = cores.step(node.core, input)
+    if world.memory.max_bytes and node.role == "storage":
+        memory_bounds.observe(world.memory, name, node.core.synchrony)
     perform(world, node, out)
 
 
--- a/tests/test_log_size.py
+++ b/tests/test_log_size.py
@@ -12,7 +12,7 @@
 from frostpost.ledger.operations import SetConfig
 from frostpost.simulator import world as worlds
 from frostpost.simulator.ledger_checks import find_ledger_violations
-from frostpost.simulator.play import all_nodes_serve
+from frostpost.simulator.play import all_nodes_serve, play
 from frostpost.simulator.storm import submit
 from frostpost.virtual_synchrony.batching import entry_bytes
 from frostpost.virtual_synchrony.bounds import Bounds
@@ -168,3 +168,30 @@
         return opened, tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
+
+
+STORM_BOUNDS = Bounds(
+    rewrite_bytes=8000, batch_bytes=600, unsafe_bytes=2400, window_bytes=9600, rewrite_entries=20000, piece_bytes=400
+)
+# The state, which stays below 12,000 bytes, and the constants: entries since the snapshot, unsafe ones and the outbox.
+STORM_MEMORY_BYTES = (
+    12_000
+    + snapshotting.MAX_REWRITE_RATIO * STORM_BOUNDS.rewrite_bytes
+    + STORM_BOUNDS.unsafe_bytes
+    + STORM_BOUNDS.window_bytes
+)
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_replicas_stay_within_their_memory_under_random_faults(seed):
+    world, report = play(seed, gap_ms=1200, bounds=STORM_BOUNDS, memory_bytes=STORM_MEMORY_BYTES)
+    assert report.broken == [] and report.decided > 100
+    assert max(node.core.synchrony.log.snapshot_bytes for node in world.nodes.values()) < 12_000
+
+
+def test_storm_finds_a_compaction_by_number_alone(monkeypatch):
+    monkeypatch.setattr(
+        snapshotting, "is_log_large", lambda s: s.applied - s.log.snapshot_index >= s.bounds.rewrite_entries
+    )
+    _, report = play(1, gap_ms=1200, bounds=STORM_BOUNDS, memory_bytes=STORM_MEMORY_BYTES)
+    assert {violation.spec for violation in report.broken} == {"memory"}
