--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -145,7 +145,9 @@
         fleets.call(fleet, "e1", "/v1/config/tenants/tamar", "PATCH", {"parameters": {"retention_ms": 610000}})[0]
         == 200
     )
-    versions = json.decode(run_admin(fleet, "history", "tenants/tamar", "--json").stdout)["versions"]
+    history = run_admin(fleet, "history", "tenants/tamar", "--json")
+    assert history.returncode == 0, history.stderr
+    versions = json.decode(history.stdout)["versions"]
     restored = run_admin(fleet, "rollback", "tenants/tamar", str(versions[-2]["version"]))
     assert restored.returncode == 0 and f"version {versions[-1]['version'] + 1}" in restored.stdout
     assert run_admin(fleet, "rollback", "tenants/tamar", "99").returncode == 3
