--- a/tests/test_platform_large_documents.py
+++ b/tests/test_platform_large_documents.py
@@ -13,7 +13,8 @@
 from frostpost.platform import call_deadlines, control
 from frostpost.simulator.plants import patched_attributes
 
-ROUTES, CHANGES = 3000, 12
+# The changes take more than a link queues (8 MiB), and many of them more than the log holds.
+ROUTES, CHANGES, MANY_CHANGES = 3000, 20, 48
 DAEMON_LOG = "/{}/log"
 # What the stored form of a document adds to it, rounded up.
 STORED_FIELDS_BYTES = 4096
@@ -95,7 +96,7 @@
 
 def test_all_daemons_start_again_after_many_large_changes_with_a_short_log():
     """Guards against review/3: the log of 200 changes of a large document took more memory than a replica has."""
-    scenario, changes = LargeChanges(9, 2 * ROUTES), 4 * CHANGES
+    scenario, changes = LargeChanges(9, 2 * ROUTES), MANY_CHANGES
     scenario.change(changes)
     for daemon in scenario.replicas():
         log_bytes = len(daemon.disk.names[DAEMON_LOG.format(daemon.name)].data)
