Restore the check of the log's size under fast changes, as known red; more related paths

The test of the log's bound first changed a document each 60 ms and failed for 20 documents: 3,002,424 bytes of entries where 2,897,152 are allowed.

The storms' bound held an allowance for the state that was chosen after a measured one.

New, passing: a second loss, with and without its disk, while a member is incomplete; loss of power of all right after a compaction, six times.

--- a/frostpost/simulator/memory_bounds.py
+++ b/frostpost/simulator/memory_bounds.py
@@ -1,4 +1,4 @@
-"""Memory of the simulated replicas: bytes of the protocol's state, against a bound."""
+"""Memory of the simulated replicas: bytes that the protocol uses besides the state itself, against a bound."""
 
 from msgspec import Struct
 
@@ -12,9 +12,8 @@
 
 
 def protocol_bytes(synchrony):
-    """Return the bytes of the log, of the entries ordered and not delivered, and of the outbox."""
-    log = synchrony.log
-    return log.entries_bytes + log.snapshot_bytes + synchrony.order.undelivered_bytes + synchrony.outbox_bytes
+    """Return the bytes of the log after its snapshot, of the entries ordered and not delivered, and of the outbox."""
+    return synchrony.log.entries_bytes + synchrony.order.undelivered_bytes + synchrony.outbox_bytes
 
 
 def observe(memory, name, synchrony):
--- a/tests/test_log_size.py
+++ b/tests/test_log_size.py
@@ -23,12 +23,12 @@
 from frostpost.write_ahead_log import log as logs
 
 DOCUMENT_BYTES, CHANGES = 200_000, 120
-# Longer than taking a snapshot of the state and the rest after it.
-CHANGE_INTERVAL_MS = 1000
+# Longer than taking a snapshot of the state and the rest after it, and shorter.
+CHANGE_INTERVAL_MS, SHORT_INTERVAL_MS = 1000, 60
 BOUNDS = Bounds(rewrite_bytes=1 << 20)
 
 
-def changed_world(documents=1, bounds=BOUNDS):
+def changed_world(documents=1, bounds=BOUNDS, interval_ms=CHANGE_INTERVAL_MS):
     """A world in which documents are changed in turn; yields it after each change."""
     world = worlds.create_world(1, 0, 3, 0, bounds)
     worlds.run(world, 1500)
@@ -38,7 +38,7 @@
         current = world.nodes["s1"].core.ledger.configs.get(path)
         digest = f"{number:08d}" * (DOCUMENT_BYTES // 8)
         submit(world, "s1", SetConfig(path, digest, 1, current.version if current else 0, "me", 1, ()))
-        worlds.run(world, world.now_ms + CHANGE_INTERVAL_MS)
+        worlds.run(world, world.now_ms + interval_ms)
         yield world
 
 
@@ -49,13 +49,41 @@
 @pytest.mark.parametrize("documents", (1, 20))
 def test_log_is_bounded_by_the_state_and_a_constant_whatever_the_number_of_changes(documents):
     """Guards against review/3: a log that was compacted by the number of its entries, however large they were."""
+    world = check_size_after_each_change(changed_world(documents))
+    assert all(node.core.synchrony.counts["rewrites"] >= 3 for node in world.nodes.values())
+    assert find_ledger_violations(world, 0) == []
+
+
+def check_size_after_each_change(changed):
     most_entries_bytes = snapshotting.MAX_REWRITE_RATIO * BOUNDS.rewrite_bytes + 4 * DOCUMENT_BYTES
-    for world in changed_world(documents):
+    for world in changed:
         for node in world.nodes.values():
             assert node.core.synchrony.log.entries_bytes <= most_entries_bytes
             assert stored_bytes(node) <= len(encode_state(node.core.ledger)) + most_entries_bytes
-    assert all(node.core.synchrony.counts["rewrites"] >= 3 for node in world.nodes.values())
-    assert find_ledger_violations(world, 0) == []
+    return world
+
+
+def test_log_is_bounded_also_if_changes_come_faster_than_snapshots_are_taken():
+    check_size_after_each_change(changed_world(20, interval_ms=SHORT_INTERVAL_MS))
+
+
+def test_state_is_whole_after_a_loss_of_power_right_after_a_compaction():
+    rewrites, losses = 0, 0
+    for world in changed_world(3):
+        newest = {path: mark.version for path, mark in world.nodes["s1"].core.ledger.configs.items()}
+        count = world.nodes["s1"].core.synchrony.counts.get("rewrites", 0)
+        if count <= rewrites or losses == 6:
+            continue
+        losses, rewrites = losses + 1, 0
+        for name in world.nodes:
+            worlds.kill(world, name, True)
+        for name in world.nodes:
+            worlds.start(world, name)
+        worlds.run(world, world.now_ms + 3000)
+        assert all_nodes_serve(world)
+        for node in world.nodes.values():
+            assert {path: mark.version for path, mark in node.core.ledger.configs.items()} == newest
+    assert losses == 6 and find_ledger_violations(world, 0) == []
 
 
 def test_state_below_the_bound_is_rewritten_at_most_once_for_its_size_in_changes():
@@ -173,20 +201,16 @@
 STORM_BOUNDS = Bounds(
     rewrite_bytes=8000, batch_bytes=600, unsafe_bytes=2400, window_bytes=9600, rewrite_entries=20000, piece_bytes=400
 )
-# The state, which stays below 12,000 bytes, and the constants: entries since the snapshot, unsafe ones and the outbox.
+# The constants beside the state: entries since the snapshot, unsafe ones and the outbox.
 STORM_MEMORY_BYTES = (
-    12_000
-    + snapshotting.MAX_REWRITE_RATIO * STORM_BOUNDS.rewrite_bytes
-    + STORM_BOUNDS.unsafe_bytes
-    + STORM_BOUNDS.window_bytes
+    snapshotting.MAX_REWRITE_RATIO * STORM_BOUNDS.rewrite_bytes + STORM_BOUNDS.unsafe_bytes + STORM_BOUNDS.window_bytes
 )
 
 
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_replicas_stay_within_their_memory_under_random_faults(seed):
-    world, report = play(seed, gap_ms=1200, bounds=STORM_BOUNDS, memory_bytes=STORM_MEMORY_BYTES)
+    _, report = play(seed, gap_ms=1200, bounds=STORM_BOUNDS, memory_bytes=STORM_MEMORY_BYTES)
     assert report.broken == [] and report.decided > 100
-    assert max(node.core.synchrony.log.snapshot_bytes for node in world.nodes.values()) < 12_000
 
 
 def test_storm_finds_a_compaction_by_number_alone(monkeypatch):
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -102,6 +102,26 @@
     assert_order_holds(world)
 
 
+@pytest.mark.parametrize("wiped", (False, True))
+def test_second_loss_while_a_member_is_incomplete_loses_nothing(wiped):
+    world, decided = large_world()
+    worlds.kill(world, "s3")
+    worlds.run(world, world.now_ms + 1500)
+    submit_spaced(world, "s1", 40)
+    newest = set(world.nodes["s1"].core.ledger.configs)
+    worlds.start(world, "s3")
+    assert run_until(world, lambda: len(world.nodes["s3"].core.synchrony.configuration.members) == 3, CATCH_UP_MS)
+    assert len(decided) == 40 and not world.nodes["s3"].core.synchrony.primary.ready
+    worlds.kill(world, "s2", True)
+    if wiped:
+        world.nodes["s2"].disk.synced_records = []
+    assert run_until(world, lambda: serves(world, world.nodes["s3"]), CATCH_UP_MS)
+    assert set(world.nodes["s3"].core.ledger.configs) == newest
+    worlds.start(world, "s2")
+    assert run_until(world, lambda: is_complete(world), CATCH_UP_MS)
+    assert_order_holds(world)
+
+
 @pytest.mark.parametrize("name", ("s1", "s2"))
 @pytest.mark.parametrize("size", (4000, 25_000))
 def test_burst_of_large_operations_is_ordered(name, size):
