--- a/review/deployment.py
+++ b/review/deployment.py
@@ -291,7 +291,7 @@
         while time.monotonic() < until_s:
             core = only or random.choice(self.of_role("core"))
             method, path = call.split(" ")
-            answer = await exchange(core.ip, self.base + CONTROL, method, path, headers, body, 1.0)
+            answer = await exchange(core.ip, self.base + CONTROL, method, path, headers, body, 1.0 + len(body) / 1e6)
             self.record("order", call=call, core=core.name, status=answer.status, body=answer.body[:200].decode())
             if answer.status and answer.status < 500 and answer.status not in (408, 429):
                 return answer
