Record an operation key by tenant and key, whatever host its route stands under

Cause: the edge names a key in the ledger by tenant, host and key. A host is an address that an operator may change; the promise knows the tenant and the key alone.

Change: from version 5 of the ledger's rules on, the ledger disregards the host. Edges send the same form as before. All replicas change over at one place in the order, where records claimed before are renamed; so a roll from the build before neither forgets what old edges claimed nor lets old and new replicas decide differently. Rules that give an old operation a new meaning wait until all voters are members, since one that is away may return with the build before.

--- a/frostpost/daemon/core.py
+++ b/frostpost/daemon/core.py
@@ -4,7 +4,7 @@
 
 from frostpost.ledger import singleton_roles, snapshots
 from frostpost.ledger.apply import apply, encode
-from frostpost.ledger.operations import Ballot, Rules
+from frostpost.ledger.operations import TASK_RULES, Ballot, Rules
 from frostpost.ledger.results import Result
 from frostpost.ledger.state import Ledger
 from frostpost.virtual_synchrony import leases
@@ -48,7 +48,7 @@
     """State of the core: membership and total order, the replicated ledger, and its snapshots.
 
     `cast_ballots` holds the epoch and round of the last ballot that this daemon cast, by singleton role, and
-    `rules_upgraded_in` the configuration in which it last submitted an upgrade of the ledger's rules.
+    `rules_upgraded_in` the configuration in which it last submitted an upgrade of the ledger's rules, and the version.
     """
 
     synchrony: synchronies.Synchrony
@@ -148,24 +148,33 @@
 
 
 def rules_upgrade(core):
-    """Return the encoded upgrade of the ledger's rules, once every member supports the new revision."""
+    """Return the encoded upgrade of the ledger's rules to the newest version that can be put in force."""
     synchrony, ledger = core.synchrony, core.ledger
-    if (
-        ledger.rules >= PROTOCOL_REVISION
-        or core.rules_upgraded_in == synchrony.configuration.id
-        or not singleton_roles.fencing_token(ledger, "ticks", synchrony.local_member)
-    ):
+    is_up_to_date = ledger.rules >= PROTOCOL_REVISION
+    if is_up_to_date or not singleton_roles.fencing_token(ledger, "ticks", synchrony.local_member):
         return []
-    endpoints = {p.endpoint.member: p.endpoint for p in synchrony.peers.values()} | {
-        synchrony.local_member: synchrony.endpoint
-    }
-    if any(
-        m not in endpoints or endpoints[m].protocol_revision < PROTOCOL_REVISION
-        for m in synchrony.configuration.members
-    ):
+    version = supported_rules(core)
+    if ledger.rules >= version or core.rules_upgraded_in == (synchrony.configuration.id, version):
         return []
-    core.rules_upgraded_in = synchrony.configuration.id
-    return [encode(Rules(PROTOCOL_REVISION))]
+    core.rules_upgraded_in = (synchrony.configuration.id, version)
+    return [encode(Rules(version))]
+
+
+def supported_rules(core):
+    """Return the newest version of the ledger's rules that every member supports; 0 if a member's is not known.
+
+    Versions after `TASK_RULES` change the meaning of operations that earlier builds can decode, so they wait until all
+    voters are members: one that is away might return with an earlier build and decide otherwise.
+    """
+    synchrony = core.synchrony
+    endpoints = {p.endpoint.member: p.endpoint for p in synchrony.peers.values()}
+    endpoints[synchrony.local_member] = synchrony.endpoint
+    members = synchrony.configuration.members
+    if any(member not in endpoints for member in members):
+        return 0
+    version = min(PROTOCOL_REVISION, *(endpoints[member].protocol_revision for member in members))
+    are_voters_present = set(core.ledger.voters) <= {member.name for member in members}
+    return version if are_voters_present else min(version, TASK_RULES)
 
 
 def holds_lease(core, now_ms):
--- a/frostpost/ledger/apply.py
+++ b/frostpost/ledger/apply.py
@@ -5,6 +5,8 @@
 from msgspec import msgpack
 
 from frostpost.program_ledger import apply as program_ledgers
+from frostpost.program_ledger import keys as program_ledger_keys
+from frostpost.program_ledger.keys import TENANT_KEY_RULES
 
 from . import config_versions, keys, programs, singleton_roles
 from .operations import (
@@ -52,7 +54,9 @@
     """Execute the operation of an entry and return its result."""
     if program_ledgers.handles(op):
         members = tuple(m.name for m in ledger.members)
-        return program_ledgers.apply_operation(ledger.program_ledger, ledger.clock_ms, members, ledger.voters, op)
+        return program_ledgers.apply_operation(
+            ledger.program_ledger, ledger.clock_ms, members, ledger.voters, op, ledger.rules
+        )
     match op:
         case OpenPrimary(members, cores, voters):
             all_restarted = bool(ledger.members) and not set(ledger.members) & set(members)
@@ -88,8 +92,7 @@
         case SetMany():
             return config_versions.set_documents(ledger, entry, op)
         case Rules(version):
-            ledger.rules = max(ledger.rules, version)
-            return Done(entry.index)
+            return raise_rules(ledger, entry, version)
         case Look():
             return Done(entry.index)
         case Fire():
@@ -101,6 +104,14 @@
     raise TypeError(f"not a ledger operation: {type(op).__name__}")
 
 
+def raise_rules(ledger, entry, version):
+    """Put a newer version of the ledger's rules in force; an older one changes nothing."""
+    previous, ledger.rules = ledger.rules, max(ledger.rules, version)
+    if previous < TENANT_KEY_RULES <= ledger.rules:
+        program_ledger_keys.disregard_hosts(ledger.program_ledger)
+    return Done(entry.index)
+
+
 def advance_clock(ledger, entry, op):
     """Advance the ledger's clock by the elapsed milliseconds and run the expiries that are due."""
     error = singleton_roles.fencing_error(ledger, "ticks", entry, op.fence)
--- a/frostpost/program_ledger/apply.py
+++ b/frostpost/program_ledger/apply.py
@@ -25,9 +25,6 @@
     ReassignAttempt: turns.reassign,
     EndAttempt: turns.end,
     AbortAttempt: turns.abort,
-    ClaimOperationKey: keys.claim,
-    ResolveOperationKey: keys.resolve,
-    ReleaseOperationKey: keys.release,
     SetRouting: routing_versions.set_routing,
     ReadRouting: routing_versions.read_routing,
     CompleteRetirement: routing_versions.complete_retirement,
@@ -36,6 +33,11 @@
     CloseUsageWindow: task_leases.close_window,
     SetCapacity: task_leases.set_capacity,
 }
+KEY_HANDLERS: dict[type, Callable] = {
+    ClaimOperationKey: keys.claim,
+    ResolveOperationKey: keys.resolve,
+    ReleaseOperationKey: keys.release,
+}
 RETIREMENT_HANDLERS: dict[type, Callable] = {
     RetireReplica: routing_versions.start_retirement,
     ReadRetirement: routing_versions.read_retirement,
@@ -44,16 +46,19 @@
 
 def handles(op):
     """Return whether an operation is one of the program ledger."""
-    return type(op) in HANDLERS or type(op) in RETIREMENT_HANDLERS
+    return type(op) in HANDLERS or type(op) in KEY_HANDLERS or type(op) in RETIREMENT_HANDLERS
 
 
-def apply_operation(program_ledger, now_ms, members, voters, op):
+def apply_operation(program_ledger, now_ms, members, voters, op, rules=keys.TENANT_KEY_RULES):
     """Execute an operation and return its result.
 
-    `members` and `voters` are names. Raises KeyError for an operation that is not one of the program ledger.
+    `members` and `voters` are names, `rules` is the version of the ledger's rules in force. Raises KeyError for an
+    operation that is not one of the program ledger.
     """
     if type(op) in RETIREMENT_HANDLERS:
         return RETIREMENT_HANDLERS[type(op)](program_ledger, members, voters, op)
+    if type(op) in KEY_HANDLERS:
+        return KEY_HANDLERS[type(op)](program_ledger, now_ms, op, keys.record_name(op, rules))
     return HANDLERS[type(op)](program_ledger, now_ms, op)
 
 
--- a/frostpost/program_ledger/ids.py
+++ b/frostpost/program_ledger/ids.py
@@ -9,6 +9,21 @@
     return f"{scope}\n{client_id}" if scope else client_id
 
 
+def hosted_key(host, key):
+    """Return the form of an operation key in `KeyOperation`s, which names the host that the client asked for.
+
+    Ledgers under rules older than `keys.TENANT_KEY_RULES` need the host, so it stays in the form. A host has no "|".
+    """
+    return f"{host}|{key}"
+
+
+def tenant_key(ledger_key):
+    """Return a scoped `hosted_key` without its host, which leaves the tenant and the client's key."""
+    scope, separator, form = ledger_key.rpartition("\n")
+    host, has_host, key = form.partition("|")
+    return scope + separator + (key if has_host else host)
+
+
 def client_id_of(ledger_id):
     """Return the id as the client sent it; the inverse of `scoped_id`."""
     return ledger_id.rpartition("\n")[2]
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from frostpost.program_ledger.ids import scoped_id
+from frostpost.program_ledger.ids import hosted_key, scoped_id
 
 
 class Route(Struct, frozen=True):
@@ -150,8 +150,8 @@
 
     @property
     def ledger_key(self):
-        """The operation key by which the ledger records this request's answer."""
-        return scoped_id(self.id_scope, f"{self.host}|{self.key}")
+        """The operation key by which the ledger records this request's answer; it disregards the host in it."""
+        return scoped_id(self.id_scope, hosted_key(self.host, self.key))
 
 
 class RunnerHead(Struct, frozen=True):
--- a/tests/test_fleet_simulator_plants.py
+++ b/tests/test_fleet_simulator_plants.py
@@ -7,6 +7,7 @@
 
 DETECTION = {
     "claim_skipped": ("TWICE", [1], {}),
+    "keys_by_host": ("TWICE", [1, 2, 3], {}),
     "promise_broken": ("REFUSED", [1], {}),
     "echo_unread": ("MIXED", [2, 1], {}),
     "cut_ended": ("ORDER", [1], {}),
