Answer a turn whose budget is 0 with 402, unlike one without a budget

Cause: the parser turned a missing budget into 0, and the ledger takes 0 for none; the two couldn't be told apart.

Change: a request without a budget has None. A budget that leaves no token is 402 at the edge, without an operation; operations and stored accounts keep 0 for none, so replicas of both builds decide alike. The time to a program's deadline had the same double meaning and has None too.

--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -106,6 +106,7 @@
 class Call(Struct):
     """A client request. uri: path and query as received. headers: those to forward, in order.
 
+    budget: the program's token budget; program_remaining_ms: the time to its deadline; each None if there is none.
     credential: digest of the client's credential, empty if there is none. tenant: name of the tenant that holds it, and
     id_scope: the tenant whose ids the request uses, both set on admission.
     """
@@ -121,12 +122,12 @@
     key: str = ""
     program: str = ""
     session_id: str = ""
-    budget: int = 0
+    budget: int | None = None
     previous_turn: str = ""
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
-    program_remaining_ms: int = 0
+    program_remaining_ms: int | None = None
     last_event_id: str = ""
     credential: str = ""
     tenant: str = ""
--- a/frostpost/proxy/turn.py
+++ b/frostpost/proxy/turn.py
@@ -38,7 +38,15 @@
 
 def needs_ledger(route, call):
     """Return whether the attempt has to be recorded in the ledger."""
-    return bool(call.program) or call.budget > 0 or route.retained
+    return bool(call.program) or call.budget is not None or route.retained
+
+
+def is_budget_empty(call):
+    """Return whether the request's budget allows no tokens at all.
+
+    The ledger can't tell: a budget of 0 in its operations stands for none.
+    """
+    return call.budget is not None and call.budget <= 0
 
 
 def delay(agent, wait_ms):
@@ -79,7 +87,9 @@
 
 def deadline_in_ms(agent, call):
     """Return the time left to the deadline of the request's program, or of the request if it belongs to none."""
-    total_ms = call.program_remaining_ms or call.deadline_ms - call.started_ms
+    total_ms = call.program_remaining_ms
+    if total_ms is None:
+        total_ms = call.deadline_ms - call.started_ms
     return total_ms - (now_ms(agent) - call.started_ms)
 
 
@@ -89,12 +99,14 @@
 
     Returns a Deferred of Placed or of a failure, after which the ledger holds no state of the attempt.
     """
+    if is_budget_empty(call):
+        return BudgetSpent()
 
     def operation(offered, remaining_ms):
         return BeginAttempt(
             attempt=call.ledger_attempt,
             program=call.ledger_program,
-            budget=call.budget,
+            budget=call.budget or 0,
             amount=call.max_output_tokens,
             previous=call.ledger_previous_turn,
             remaining_ms=remaining_ms,
--- a/tests/fleet_simulator/crowd.py
+++ b/tests/fleet_simulator/crowd.py
@@ -11,6 +11,7 @@
 FINAL_STATUSES = (400, 401, 402, 404, 413, 431)
 MAX_EVENTS = 7
 MOST_TOKENS = MAX_EVENTS * EVENT_TOKENS
+RUNAWAY_TURNS, RUNAWAY_GAP_S = 4, 0.2
 
 
 class Crowd:
@@ -98,7 +99,7 @@
             (b"X-Session-Id", program and program + "s"),
             (b"X-Operation-Key", request.key),
             (b"X-Previous-Turn", request.previous),
-            (b"X-Token-Budget", request.budget and str(request.budget)),
+            (b"X-Token-Budget", request.budget is not None and str(request.budget)),
             (b"X-Token-Count", request.most and f"100,{request.most}"),
             (b"X-Prompt-Prefix", request.most and "aa:60,bb:40"),
             (b"Last-Event-Id", request.last_event),
@@ -204,6 +205,16 @@
                 self.probe()
             yield self.pause(self.random.expovariate(1) * gap_ms / 1000)
 
+    @inlineCallbacks
+    def run_away(self, until_ms):
+        """Run programs without any tokens one after the other, which send turns whatever they are answered."""
+        while self.now_ms() < until_ms:
+            self.begun += 1
+            for _ in range(RUNAWAY_TURNS):
+                request = self.make("/chat/x", f"{self.tag}{self.begun}", budget=0, most=MOST_TOKENS)
+                yield self.once(self.random.choice(self.zones), request)
+                yield self.pause(RUNAWAY_GAP_S)
+
     def probe(self):
         """Send a request on a route of a recent version, whether or not it is current."""
         versions = self.notes.versions
--- a/tests/fleet_simulator/judge.py
+++ b/tests/fleet_simulator/judge.py
@@ -152,7 +152,7 @@
     """BUDGET: a program received more tokens than its budget and one request allow."""
     spent, limits = defaultdict(int), {}
     for request in tries.values():
-        if request.budget:
+        if request.budget is not None:
             spent[request.tenant, request.program] += (
                 len(events_of(request.got)[0]) * EVENT_TOKENS if request.status == 200 else 0
             )
--- a/tests/fleet_simulator/notes.py
+++ b/tests/fleet_simulator/notes.py
@@ -38,7 +38,7 @@
     key: str = ""
     program: str = ""
     previous: str = ""
-    budget: int = 0
+    budget: int | None = None
     most: int = 0
     last_event: str = ""
     tenant: str = ""
--- a/tests/fleet_simulator/plants.py
+++ b/tests/fleet_simulator/plants.py
@@ -81,6 +81,10 @@
     return [(runner_list, "parse_runner", parse_runner)]
 
 
+def empty_budget_unbounded():
+    return [(turn, "is_budget_empty", lambda call: False)]
+
+
 def promise_broken():
     return [(client_response, "STATUS_BY_FAILURE", {**client_response.STATUS_BY_FAILURE, Unknown: 503, TimedOut: 503})]
 
@@ -238,6 +242,7 @@
     "resumed_always": resumed_always,
     "attempts_unbounded": attempts_unbounded,
     "tokens_forgotten": tokens_forgotten,
+    "empty_budget_unbounded": empty_budget_unbounded,
     "every_voter": every_voter,
     "unordered_ack": unordered_ack,
     "orders_forgotten": orders_forgotten,
--- a/tests/fleet_simulator/play.py
+++ b/tests/fleet_simulator/play.py
@@ -11,6 +11,7 @@
 from . import troubles as troubles
 from . import world as worlds
 from .config import acknowledgements, handled, read_back, reverts
+from .crowd import Crowd
 from .inner import inner
 from .kinds import KINDS, strike
 from .leases import LeaseMonitor, forwarded_past_lease
@@ -48,6 +49,12 @@
     schedule_next()
 
 
+def run_away(world, crowd, until_ms):
+    """Have clients without credentials run programs whose budget is 0, unless only tenants are served."""
+    if isinstance(crowd, Crowd):
+        crowd_of(world, "r").run_away(until_ms)
+
+
 def storm(world, random, operators, kinds, until_ms, gap_ms, trace):
     """Inject random faults of the given kinds until `until_ms`, at most `gap_ms` apart."""
 
@@ -148,6 +155,7 @@
         for daemon in world.of("edge"):
             probe(world, crowd, daemon)
         crowd.arrive(from_ms + storm_ms, load_ms)
+        run_away(world, crowd, from_ms + storm_ms)
         changes(world, random, operators, from_ms + storm_ms)
         kinds = sorted(kinds if kinds is not None else KINDS)
         if kinds:
--- a/tests/fleet_simulator/tenant_deployment.py
+++ b/tests/fleet_simulator/tenant_deployment.py
@@ -74,7 +74,7 @@
             (b"X-Operation-Key", request.key),
             (b"X-Program-Id", request.program),
             (b"X-Session-Id", request.program and request.program + "s"),
-            (b"X-Token-Budget", request.budget and str(request.budget)),
+            (b"X-Token-Budget", request.budget is not None and str(request.budget)),
             (b"X-Token-Count", request.most and f"100,{request.most}"),
             (b"X-Previous-Turn", request.previous),
         ):
--- a/tests/proxy_harness.py
+++ b/tests/proxy_harness.py
@@ -74,6 +74,10 @@
     )
 
 
+def types_of(items):
+    return [type(item) for item in items]
+
+
 class ProxyHarness:
     """A proxy whose ledger, turn store and lease are controlled by the test.
 
--- a/tests/test_fleet_simulator_plants.py
+++ b/tests/test_fleet_simulator_plants.py
@@ -14,6 +14,7 @@
     "resumed_always": ("ORDER", [1, 2, 3, 4], {}),
     "attempts_unbounded": ("BUDGET", [23, *range(1, 40)], {}),
     "tokens_forgotten": ("BUDGET", [1], {}),
+    "empty_budget_unbounded": ("BUDGET", [1, 2, 3], {}),
     "end_unawaited": ("LOST", range(1, 13), {"closing": "power"}),
     "chain_reversed": ("UNASKED", [1], {}),
     "base_ignored": ("CONFIG", [3, 1], {}),
--- a/tests/test_proxy_fencing.py
+++ b/tests/test_proxy_fencing.py
@@ -2,7 +2,7 @@
 
 import pytest
 from expression import Ok
-from proxy_harness import HEAD, ProxyHarness, chunk, make_route, make_runner, response_bytes
+from proxy_harness import HEAD, ProxyHarness, chunk, make_route, make_runner, response_bytes, types_of
 from twisted.internet.defer import Deferred
 
 from frostpost.program_ledger.messages import (
@@ -26,10 +26,6 @@
     return ProxyHarness([make_route(kind=kind, **route)], [make_runner("r1")], monkeypatch)
 
 
-def types_of(items):
-    return [type(item) for item in items]
-
-
 def test_response_is_withheld_if_the_key_is_claimed_by_another_attempt(monkeypatch):
     harness = make_harness(monkeypatch, "idempotent")
     harness.results[ResolveOperationKey] = NoAttempt("a1")
--- a/tests/test_proxy_stream.py
+++ b/tests/test_proxy_stream.py
@@ -1,6 +1,6 @@
 import pytest
 from expression import Error, Ok
-from proxy_harness import HEAD, HOLDERS, ProxyHarness, chunk, make_route, make_runner, response_bytes
+from proxy_harness import HEAD, HOLDERS, ProxyHarness, chunk, make_route, make_runner, response_bytes, types_of
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
@@ -35,10 +35,6 @@
     connection.connectionLost(Failure(ConnectionLost()))
 
 
-def types_of(items):
-    return [type(item) for item in items]
-
-
 def test_response_ends_only_when_the_turn_is_durable(monkeypatch):
     harness = make_harness(monkeypatch)
     harness.bodies = {"p": b"old"}
--- a/tests/test_proxy_wait_policy.py
+++ b/tests/test_proxy_wait_policy.py
@@ -4,7 +4,7 @@
 from expression import Error, Ok
 from hypothesis import given
 from hypothesis import strategies as st
-from proxy_harness import HEAD, ProxyHarness, chunk, make_route, make_runner, response_bytes
+from proxy_harness import HEAD, ProxyHarness, chunk, make_route, make_runner, response_bytes, types_of
 from twisted.internet.defer import Deferred, succeed
 
 from frostpost.cluster import lease_client, lease_waiters
@@ -28,10 +28,6 @@
     return ProxyHarness([make_route(**route)], [make_runner("r1"), make_runner("r2")], monkeypatch)
 
 
-def types_of(items):
-    return [type(item) for item in items]
-
-
 def restore_lease(harness):
     harness.has_lease = True
     lease_waiters.wake_lease_waiters(harness.agent)
