Go on with the founding after a restart: remember the first start on disk

Cause: settings say "first start" to the first process of a daemon only, and the founder and the storage daemons went by that flag. After a restart nobody could make the bootstrap record, and storage daemons began without voters.

Change: each daemon with a disk records the seeds of the first start there before anything else. Any process of the lowest of them founds; without that record it does so only if every other seed still has the disk of its first start. Late requests of its earlier processes are ignored. A damaged record lets a disk count as lost. bootstrap.py is split by job, and the planned end of a replica stands in a module of its own.

--- a/frostpost/cluster/agent.py
+++ b/frostpost/cluster/agent.py
@@ -23,6 +23,8 @@
 from . import (
     address_store,
     bootstrap,
+    bootstrap_copies,
+    bootstrap_record,
     directory,
     lease_client,
     lease_waiters,
@@ -60,7 +62,7 @@
     lease_client.session_of(agent)
     status.begin_status(agent)
     if settings.control:
-        bootstrap.open_bootstrap(agent)
+        bootstrap_record.open_bootstrap(agent)
     if settings.data:
         agent.attachments["peers"] = address_store.open_address_store(settings.data, machine)
     return agent
@@ -90,7 +92,7 @@
         case PutBodyReply() | GetBodiesReply():
             turn_store_client.on_reply(agent, endpoint.member.name, body)
         case BootstrapRequest():
-            bootstrap.on_bootstrap_request(agent, endpoint, body)
+            bootstrap_copies.on_bootstrap_request(agent, endpoint, body)
         case BootstrapReply():
             bootstrap.on_bootstrap_reply(agent, endpoint, body)
         case DirectoryReply():
--- a/frostpost/cluster/assembly.py
+++ b/frostpost/cluster/assembly.py
@@ -34,11 +34,11 @@
 def build_daemon(settings, front, reactor, machine, stop):
     """Assemble the daemon. Returns its context and the callables that start and drain it."""
     if settings.role == STORAGE_ROLE:
-        from . import replica_daemon
+        from . import replica_daemon, replica_drain
 
         context = replica_daemon.assemble(settings, reactor, machine, stop)
         context.sessions.capacity.routing_from_body = front.routing_from_body
-        return context, partial(replica_daemon.start, context), partial(replica_daemon.drain, context)
+        return context, partial(replica_daemon.start, context), partial(replica_drain.drain, context)
     from .agent import drain_agent, make_agent, start_agent
 
     context = make_agent(settings, front, reactor, machine)
--- a/frostpost/cluster/replica_context.py
+++ b/frostpost/cluster/replica_context.py
@@ -13,7 +13,10 @@
 
 
 class ReplicaContext:
-    """State of a storage daemon besides the `Context` of its core."""
+    """State of a storage daemon besides the `Context` of its core.
+
+    first_seeds: the seeds of the first start of the whole system; empty if the disk isn't the one of that start.
+    """
 
     __slots__ = (
         "voter_changes",
@@ -34,6 +37,7 @@
         "tasks",
         "turn_store",
         "awaiting_bootstrap",
+        "first_seeds",
     )
 
     def __init__(self, ctx, settings, stop):
@@ -44,7 +48,7 @@
         )
         self.reactor, self.machine, self.tasks = ctx.reactor, ctx.machine, []
         self.turn_store, self.send, self.log = None, None, None
-        self.awaiting_bootstrap, self.bootstrap_voters = True, ()
+        self.awaiting_bootstrap, self.bootstrap_voters, self.first_seeds = True, (), ()
         self.draining = False
         self.bootstrap_poll = None
 
--- a/frostpost/cluster/replica_daemon.py
+++ b/frostpost/cluster/replica_daemon.py
@@ -22,17 +22,14 @@
 )
 from frostpost.virtual_synchrony.durable_log import NO_CONFIGURATION
 from frostpost.virtual_synchrony.endpoints import PROTOCOL_REVISION, Endpoint, Member
-from frostpost.virtual_synchrony.events import DrainRequested, MessageReceived
+from frostpost.virtual_synchrony.events import MessageReceived
 from frostpost.virtual_synchrony.messages import DiscoveryUpdate
 from frostpost.write_ahead_log import log as write_ahead_logs
 
 from . import address_store, admission_queue, agent_sessions, announcements, status, task_server, voter_reconfiguration
+from .first_start import forget_seeds, recall_seeds, was_founded_without
 from .replica_context import ROLE, ProcessExit, ReplicaContext, replica_settings
 
-SHUTDOWN_DELAY_S = 0.4
-VOTE_CHECK_INTERVAL_S = 0.05
-VOTE_WAIT_DIVISOR = 4
-
 
 def assemble(settings, reactor, machine, stop):
     """Returns a ReplicaContext whose core is not started yet, see `begin_serving`."""
@@ -49,9 +46,13 @@
     ctx = Context(replica_settings(settings), reactor, endpoint, machine)
     replica = ReplicaContext(ctx, settings, stop)
     ctx.lifecycle = ProcessExit(stop)
+    replica.first_seeds = recall_seeds(settings, machine)
     write_ahead_log, replica.log, damage = stored_log.open_log(settings.data, machine.files)
     if damage:
         log_event(type(damage).__name__, path=damage.path, offset=damage.offset)
+    if isinstance(damage, write_ahead_logs.Corrupt):
+        forget_seeds(settings, machine)
+        replica.first_seeds = ()
     ctx.disk = disks.LogWriter(ctx, write_ahead_log)
     replica.peers = address_store.open_address_store(settings.data, machine)
     replica.agent_addresses, replica.announced_configuration = (
@@ -81,9 +82,9 @@
 
 
 def start(replica):
-    """Listen, then begin serving: at once with a stored log or at a later start, else with the bootstrap record."""
+    """Listen, then begin serving: at once with a stored log or on a later disk, else with the bootstrap record."""
     listen(replica.ctx, lambda ctx, frame: on_frame(replica, frame)).addErrback(on_listen_failure(replica))
-    if replica.log.primary != NO_CONFIGURATION or not replica.settings.first_start:
+    if replica.log.primary != NO_CONFIGURATION or not replica.first_seeds:
         begin_serving(replica, ())
     replica.bootstrap_poll = run_every(replica, lambda: request_bootstrap(replica), 0.1)
 
@@ -145,7 +146,7 @@
     if not replica.awaiting_bootstrap:
         replica.bootstrap_poll.stop()
         return
-    for seed in replica.settings.seeds:
+    for seed in dict.fromkeys((*replica.first_seeds, *replica.settings.seeds)):
         replica.ctx.links["send"](f"@{seed}", DirectoryRequest())
 
 
@@ -216,34 +217,15 @@
 
 
 def on_directory(replica, message):
-    """Add the replicas in a directory; while awaiting the bootstrap record, start the core with its voters."""
+    """Add the replicas in a directory; while awaiting the bootstrap record, start the core with its voters.
+
+    It starts without voters if the system was founded without it and the founder is gone.
+    """
     if replica.awaiting_bootstrap:
-        if message.bootstrap_voters:
+        if message.bootstrap_voters or was_founded_without(replica.settings, message.endpoints):
             begin_serving(replica, message.bootstrap_voters)
         return
     ctx = replica.ctx
     for endpoint in message.endpoints:
         if endpoint.member.name != replica.settings.name and endpoint.member.name not in ctx.core.synchrony.peers:
             event_loop.feed_input(ctx, MessageReceived(clock_ms(ctx), endpoint, DiscoveryUpdate((), False)))
-
-
-def drain(replica):
-    """Give up the vote if a majority can do without it, leave the configuration, then end."""
-    if replica.draining:
-        return
-    replica.draining = True
-    if replica.awaiting_bootstrap:
-        replica.reactor.callLater(SHUTDOWN_DELAY_S, replica.stop, 0)
-        return
-    replica.ctx.core.synchrony.status = voter_reconfiguration.status_report(replica.turn_store, True)
-    until_ms = clock_ms(replica.ctx) + replica.settings.grace_ms // VOTE_WAIT_DIVISOR
-    drain_without_vote(replica, until_ms)
-
-
-def drain_without_vote(replica, until_ms):
-    """Wait, up to `until_ms`, while this replica is a voter that the others can do without; then leave and end."""
-    if clock_ms(replica.ctx) < until_ms and voter_reconfiguration.is_dispensable_voter(replica.ctx, replica.settings):
-        replica.reactor.callLater(VOTE_CHECK_INTERVAL_S, drain_without_vote, replica, until_ms)
-        return
-    event_loop.feed_input(replica.ctx, DrainRequested(clock_ms(replica.ctx)))
-    replica.reactor.callLater(SHUTDOWN_DELAY_S, replica.stop, 0)
--- a/frostpost/virtual_synchrony/agent_messages.py
+++ b/frostpost/virtual_synchrony/agent_messages.py
@@ -155,9 +155,16 @@
 
 
 class BootstrapReply(Struct, frozen=True, array_like=True, tag=41):
-    """names: the initial voters in the seed's bootstrap record; empty if it has none."""
+    """Reports a seed's bootstrap record.
+
+    names: the initial voters in it; empty if it has none. seeds: the seeds of the first start, as "host:port", if the
+    sender's disk is still that of its first start. requester: incarnation of the process that this answers, 0 if it
+    isn't told.
+    """
 
     names: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = ()
+    requester: int = 0
 
 
 AGENT_MESSAGES = (
--- a/tests/fleet_simulator/world.py
+++ b/tests/fleet_simulator/world.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from frostpost.cluster import agent as assembly
-from frostpost.cluster import replica_daemon
+from frostpost.cluster import replica_daemon, replica_drain
 from frostpost.daemon.machine import Machine
 from frostpost.platform import listening, settings
 from frostpost.simulator import simulated_disk
@@ -293,7 +293,7 @@
 
     host.dispatch(
         *(
-            (replica_daemon.drain, daemon.owner)
+            (replica_drain.drain, daemon.owner)
             if daemon.role == "storage"
             else (assembly.drain_agent, daemon.owner, stop)
         )
--- a/tests/test_cluster_bootstrap.py
+++ b/tests/test_cluster_bootstrap.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from frostpost.cluster import agent as assembly
-from frostpost.cluster import bootstrap
+from frostpost.cluster import bootstrap, bootstrap_record
 from frostpost.cluster.agent_context import AgentContext
 from frostpost.cluster.settings import DaemonSettings
 from frostpost.daemon.machine import Machine
@@ -43,7 +43,7 @@
         self.silent = set()
         self.agent.links["send"] = self.send
         assembly.lease_client.session_of(self.agent)
-        bootstrap.open_bootstrap(self.agent)
+        bootstrap_record.open_bootstrap(self.agent)
 
     def send(self, to, body):
         """Store and confirm copies on behalf of the other seeds."""
@@ -202,9 +202,9 @@
     founder = Endpoint(Member("c1", 1), "core", "z", *FIRST, 0)
     assembly.on_frame(core.agent, Frame(1, founder, "", BootstrapRequest()))
     assembly.on_frame(core.agent, Frame(1, founder, "", BootstrapRequest(NAMES)))
-    assert core.out == [BootstrapReply(()), BootstrapReply(NAMES)]
+    assert core.out == [BootstrapReply((), SEEDS, 1), BootstrapReply(NAMES, SEEDS, 1)]
     lose_unsynced(core.disk)
     restarted = Core(SECOND, disk=core.disk)
     assembly.on_frame(restarted.agent, Frame(1, founder, "", BootstrapRequest()))
     restarted.request_record("s1")
-    assert restarted.out == [BootstrapReply(NAMES), DirectoryReply((), ())]
+    assert restarted.out == [BootstrapReply(NAMES, SEEDS, 1), DirectoryReply((), ())]
--- a/tests/test_cluster_replica_daemon.py
+++ b/tests/test_cluster_replica_daemon.py
@@ -20,11 +20,16 @@
 from frostpost.write_ahead_log import log as write_ahead_logs
 
 VOTERS = ("s1", "s2", "s3")
+OPEN_STORE = replica_daemon.store.open_store
 CONFIGURATION_RECORD = ConfigurationRecord(ConfigurationId(4, "s2", 1), 0, VOTERS)
 
 
-def new_replica(monkeypatch, records=(), first_start=True):
-    clock, out, disk = Clock(), [], simulated_disk.SimulatedDisk(Random(7), {}, {}, {})
+def new_disk():
+    return simulated_disk.SimulatedDisk(Random(7), {}, {}, {})
+
+
+def new_replica(monkeypatch, records=(), first_start=True, disk=None, seeds=("h:7", "h:8")):
+    clock, out, disk = Clock(), [], disk or new_disk()
     machine = Machine(
         seconds=clock.seconds,
         in_thread=Threads().run,
@@ -33,16 +38,15 @@
     )
     monkeypatch.setattr(replica_daemon, "listen", lambda ctx, on_frame: succeed(None))
     monkeypatch.setattr(replica_daemon, "make_links", lambda ctx: lambda to, body: out.append((to, body)))
-    open_store = replica_daemon.store.open_store
     monkeypatch.setattr(
         replica_daemon.store,
         "open_store",
-        lambda data, machine, **options: open_store(data, machine, files_of(disk), **options),
+        lambda data, machine, **options: OPEN_STORE(data, machine, files_of(disk), **options),
     )
     if records:
         write_ahead_log, _, _ = stored_log.open_log("/data", machine.files)
         write_ahead_logs.append(write_ahead_log, [disks.encode(r) for r in records])
-    settings = DaemonSettings("s1", "storage", "z", "h", 1, seeds=("h:7", "h:8"), first_start=first_start, data="/data")
+    settings = DaemonSettings("s1", "storage", "z", "h", 1, seeds=seeds, first_start=first_start, data="/data")
     stopped = []
     replica = replica_daemon.assemble(settings, clock, machine, stopped.append)
     return replica, out, stopped
@@ -90,6 +94,50 @@
     assert directory_requests(out) == []
 
 
+def restarted_before_the_founding(monkeypatch, seeds=("h:8", "h:9")):
+    disk = new_disk()
+    replica_daemon.start(new_replica(monkeypatch, disk=disk)[0])
+    simulated_disk.kill(disk, [])
+    replica, out, _ = new_replica(monkeypatch, first_start=False, disk=disk, seeds=seeds)
+    replica_daemon.start(replica)
+    return replica, out
+
+
+def test_a_replica_killed_before_the_founding_goes_on_awaiting_the_record_from_the_first_seeds_too(monkeypatch):
+    """Guards against review/5: all replicas killed then began without voters, and none ever opened."""
+    replica, out = restarted_before_the_founding(monkeypatch)
+    replica.reactor.advance(0.1)
+    assert replica.awaiting_bootstrap and directory_requests(out) == ["@h:7", "@h:8", "@h:9"]
+    receive(replica, DirectoryReply((endpoint_of("s2"), endpoint_of("s1")), ()))
+    assert replica.awaiting_bootstrap
+    receive(replica, DirectoryReply((), VOTERS))
+    assert replica.ctx.core.synchrony.bootstrap_voters == VOTERS
+
+
+def test_a_replica_without_the_record_joins_a_running_system_without_voters(monkeypatch):
+    replica, _ = restarted_before_the_founding(monkeypatch)
+    receive(replica, DirectoryReply((endpoint_of("s2"), endpoint_of("s3")), ()))
+    assert not replica.awaiting_bootstrap and replica.ctx.core.synchrony.bootstrap_voters == ()
+
+
+@pytest.mark.parametrize("damaged", [False, True])
+def test_a_replica_whose_log_was_damaged_begins_without_voters_from_then_on(monkeypatch, damaged):
+    disk = new_disk()
+    records = (CONFIGURATION_RECORD, CONFIGURATION_RECORD)
+    replica, _, _ = new_replica(monkeypatch, records, disk=disk)
+    write_ahead_logs.sync(replica.ctx.disk.write_ahead_log)
+    simulated_disk.kill(disk, [])
+    if damaged:
+        disk.names["/data/log"].data[20] ^= 0x5A
+    for _ in range(2):
+        replica, _, _ = new_replica(monkeypatch, first_start=False, disk=disk)
+        replica_daemon.start(replica)
+        assert not replica.awaiting_bootstrap and replica.ctx.core.synchrony.bootstrap_voters == ()
+        assert replica.ctx.core.synchrony.log.voters == (() if damaged else VOTERS)
+        assert replica.first_seeds == (() if damaged else ("h:7", "h:8"))
+        simulated_disk.kill(disk, [])
+
+
 def test_a_later_bootstrap_record_changes_nothing(monkeypatch):
     replica, _, _ = new_replica(monkeypatch, first_start=False)
     replica_daemon.start(replica)
--- a/tests/test_disk_crashes_of_users.py
+++ b/tests/test_disk_crashes_of_users.py
@@ -9,7 +9,8 @@
 import disk_model as model
 import pytest
 
-from frostpost.cluster import address_store, assembly, bootstrap, replica_daemon
+from frostpost.cluster import address_store, assembly, bootstrap_record, replica_daemon
+from frostpost.cluster import first_start as first_starts
 from frostpost.daemon import disk as keepers
 from frostpost.daemon import log_compaction as rewritings
 from frostpost.daemon import stored_log
@@ -85,16 +86,19 @@
 def make_charter(disk, notes):
     log, _, _ = logs.open_log(FOLDER, "charter", model.files_of(disk))
     notes.tried["charter"] = ("s1", "s2", "s3")
-    bootstrap.write_record(log, ("s1", "s2", "s3"))
+    bootstrap_record.write_record(log, ("s1", "s2", "s3"))
     notes.lasting.update(notes.tried)
 
 
 def read_charter(disk):
     files = model.files_of(disk)
     agent = SimpleNamespace(
-        settings=SimpleNamespace(data=FOLDER), machine=SimpleNamespace(files=files), bootstrap_voters=(), attachments={}
+        settings=SimpleNamespace(data=FOLDER, first_start=False, seeds=()),
+        machine=SimpleNamespace(files=files),
+        bootstrap_voters=(),
+        attachments={},
     )
-    bootstrap.open_bootstrap(agent)
+    bootstrap_record.open_bootstrap(agent)
     return agent
 
 
@@ -121,6 +125,26 @@
     assert agent.bootstrap_voters == ("s1", "s2", "s3") or "founding" not in agent.attachments
 
 
+def recall_first_start(disk, seeds=(), first_start=False):
+    settings = SimpleNamespace(data=FOLDER, first_start=first_start, seeds=seeds)
+    return first_starts.recall_seeds(settings, SimpleNamespace(files=model.files_of(disk)))
+
+
+def record_first_start(disk, notes):
+    notes.tried["seeds"] = ("h:1", "h:2")
+    recall_first_start(disk, notes.tried["seeds"], True)
+    notes.lasting.update(notes.tried)
+
+
+def check_first_start(disk, notes):
+    assert recall_first_start(disk) in ((), notes.tried.get("seeds", ()))
+    assert recall_first_start(disk) == notes.lasting.get("seeds", recall_first_start(disk))
+
+
+def test_a_first_start_that_was_recorded_is_remembered_after_any_crash():
+    assert every_crash(record_first_start, check_first_start) > 10
+
+
 def keep_addresses(disk, notes):
     machine = SimpleNamespace(files=model.files_of(disk))
     held = address_store.open_address_store(FOLDER, machine)
--- a/tests/test_fleet_simulator_founding.py
+++ b/tests/test_fleet_simulator_founding.py
@@ -153,3 +153,74 @@
         world.later(500, restart, world, daemon, True)
     world.run(world.now_ms() + 9000)
     assert bootstrap_voter_sets(world) <= initial_voter_sets
+
+
+def start_all(seed):
+    world = worlds.make(seed)
+    for daemon in list(world.daemons.values()):
+        world.later(world.random.uniform(0, 300), worlds.start, world, daemon)
+    return world
+
+
+def assert_founded(world, seed):
+    assert plays.await_(world, plays.operator_of(world, "a").found(), 20000) == 200, seed
+    assert plays.settle(world, 15000) >= 0 and len(bootstrap_voter_sets(world)) == 1
+
+
+def lose(world, daemon, loss):
+    if loss == "wipe":
+        worlds.wipe(world, daemon)
+    else:
+        worlds.kill(world, daemon, loss == "power")
+
+
+@pytest.mark.parametrize("loss", ["kill", "power", "wipe"])
+@pytest.mark.parametrize("name", ["core-z0-1", "core-z1-1", "storage-z0-1", "storage-z2-1"])
+def test_first_start_completes_though_one_daemon_is_lost_at_any_time_in_it(name, loss):
+    """Guards against review/5: the system never started after the founder was killed in its first start."""
+    for lost_ms in (310, 400, 550, 700, 900, 1000, 1100, 1200, 1400, 1800, 2400):
+        world = start_all(lost_ms)
+        daemon = world.daemons[name]
+        world.later(lost_ms, lose, world, daemon, loss)
+        world.later(lost_ms + 500, restart, world, daemon, False)
+        assert_founded(world, lost_ms)
+
+
+@pytest.mark.parametrize("roles", [("storage",), ("core",), ("core", "storage", "edge")])
+@pytest.mark.parametrize("power", [False, True])
+def test_first_start_completes_though_all_daemons_of_a_role_are_killed_in_it(roles, power):
+    for killed_ms in (400, 700, 1000, 1300, 2000):
+        world = start_all(killed_ms)
+        for daemon in world.of(*roles):
+            world.later(killed_ms, worlds.kill, world, daemon, power)
+            world.later(killed_ms + world.random.uniform(300, 900), restart, world, daemon, False)
+        assert_founded(world, killed_ms)
+
+
+def test_first_start_completes_though_every_daemon_is_killed_in_it_again_and_again():
+    for seed in range(6):
+        world, random = start_all(seed), Random(seed)
+        for _ in range(12):
+            daemon, killed_ms = random.choice(list(world.daemons.values())), random.uniform(300, 3500)
+            world.later(killed_ms, worlds.kill, world, daemon, random.random() < 0.5)
+            world.later(killed_ms + random.uniform(200, 700), restart, world, daemon, False)
+        world.run(4500)
+        for daemon in list(world.daemons.values()):
+            restart(world, daemon, False)
+        assert_founded(world, seed)
+
+
+def test_storage_daemon_that_was_away_since_the_first_start_joins_though_the_founder_is_gone():
+    world = worlds.make(3)
+    away, founder = world.daemons["storage-z2-1"], world.of("core")[0]
+    for daemon in list(world.daemons.values()):
+        world.later(0 if daemon is away else 1000, worlds.start, world, daemon)
+    world.later(500, worlds.kill, world, away)
+    assert plays.await_(world, plays.operator_of(world, "a").found(), 20000) == 200
+    worlds.kill(world, founder)
+    founder.gone = True
+    restart(world, away, False)
+    world.run(world.now_ms() + 6000)
+    assert plays.settle(world, 8000) >= 0
+    names = {member.name for member in away.owner.ctx.core.synchrony.configuration.members}
+    assert names == {daemon.name for daemon in world.of("storage")}
