--- a/tests/test_cluster_bootstrap_restarts.py
+++ b/tests/test_cluster_bootstrap_restarts.py
@@ -114,6 +114,10 @@
         for seed in self.seeds.values():
             if seed.agent is None:
                 seed.start(False)
+        self.run(steps)
+
+    def run(self, steps=CALM_STEPS):
+        """Let time pass and everything arrive."""
         for _ in range(steps):
             self.tick()
             self.settle()
@@ -128,6 +132,17 @@
             self.observe()
 
 
+def founded(addresses=SEEDS, seeds=SEEDS):
+    """Return a network whose system is founded; storage daemons with other names wait from now on."""
+    network = Network(addresses)
+    for seed in network.seeds.values():
+        seed.start(True, seeds)
+    network.calm(20)
+    assert network.records == {STORAGE}
+    network.storage = ["s7", "s8", "s9"]
+    return network
+
+
 def random_step(network, random, wiped):
     """Move one message, thread, process or clock."""
     seed = random.choice(list(network.seeds.values()))
@@ -223,26 +238,17 @@
     second.kill()
     second.start(False, (*SEEDS[1:], OTHERS[0]))
     network.cuts = {frozenset((FOUNDER, other)) for other in network.seeds if other != FOUNDER}
-    for _ in range(CALM_STEPS):
-        network.tick()
-        network.settle()
+    network.run()
     assert network.records == set()
 
 
 def test_machines_added_later_found_nothing_though_no_seed_of_theirs_holds_a_record():
-    network = Network(SEEDS + OTHERS)
-    for seed in network.seeds.values():
-        seed.start(True)
-    network.calm(20)
-    assert network.records == {STORAGE}
-    network.storage = ["s7", "s8", "s9"]
+    network = founded(SEEDS + OTHERS)
     for address in SEEDS:
         network.seeds[address].wipe()
     replaced = network.seeds[FOUNDER]
     replaced.start(False, (FOUNDER, *OTHERS))
-    for _ in range(CALM_STEPS):
-        network.tick()
-        network.settle()
+    network.run()
     assert network.records == {STORAGE} and replaced.agent.bootstrap_voters == ()
 
 
@@ -257,25 +263,17 @@
     network.seeds[SEEDS[2]].kill()
     for address in SEEDS[:2]:
         network.seeds[address].start(False)
-    for _ in range(CALM_STEPS):
-        network.tick()
-        network.settle()
+    network.run()
     assert network.records == {STORAGE}
     assert network.seeds[FOUNDER].agent.bootstrap_voters == ()
 
 
 def test_single_seed_without_its_disk_founds_nothing_at_a_later_start():
-    network = Network((FOUNDER,))
+    network = founded((FOUNDER,), (FOUNDER,))
     seed = network.seeds[FOUNDER]
-    seed.start(True, (FOUNDER,))
-    network.calm(20)
-    assert network.records == {STORAGE}
-    network.storage = ["s7", "s8", "s9"]
     seed.wipe()
     seed.start(False, (FOUNDER,))
-    for _ in range(CALM_STEPS):
-        network.tick()
-        network.settle()
+    network.run()
     assert network.records == {STORAGE} and seed.agent.bootstrap_voters == ()
 
 
@@ -296,19 +294,12 @@
 
 
 def test_seeds_that_all_lost_their_disks_found_nothing_though_other_machines_name_them():
-    network = Network(SEEDS + OTHERS)
-    for seed in network.seeds.values():
-        seed.start(True)
-    network.calm(20)
-    assert network.records == {STORAGE}
-    network.storage = ["s7", "s8", "s9"]
+    network = founded(SEEDS + OTHERS)
     for address in SEEDS:
         network.seeds[address].wipe()
     for address in SEEDS:
         network.seeds[address].start(False, (SEEDS[0], *OTHERS))
-    for _ in range(CALM_STEPS):
-        network.tick()
-        network.settle()
+    network.run()
     assert network.seeds[FOUNDER].agent.attachments["founding"].seeds == SEEDS
     assert network.records == {STORAGE} and network.seeds[FOUNDER].agent.bootstrap_voters == ()
 
@@ -337,10 +328,7 @@
 @pytest.mark.parametrize("address, name", [(FOUNDER, "charter"), (SEEDS[1], "kept-charter")])
 def test_disk_with_a_damaged_record_counts_as_lost_from_then_on(address, name):
     """A record that was set aside looks like none in the next life: it vouches for nothing and founds nothing."""
-    network = Network()
-    for seed in network.seeds.values():
-        seed.start(True)
-    network.calm(20)
+    network = founded()
     seed = network.seeds[address]
     seed.kill()
     rot(seed.disk, name)
