--- a/tests/test_cluster_bootstrap_restarts.py
+++ b/tests/test_cluster_bootstrap_restarts.py
@@ -253,11 +253,7 @@
 
 
 def test_two_seeds_without_their_disks_found_nothing():
-    network = Network()
-    for seed in network.seeds.values():
-        seed.start(True)
-    network.calm(20)
-    network.storage = ["s7", "s8", "s9"]
+    network = founded()
     for address in SEEDS[:2]:
         network.seeds[address].wipe()
     network.seeds[SEEDS[2]].kill()
--- a/tests/test_platform_moved_keys.py
+++ b/tests/test_platform_moved_keys.py
@@ -1,6 +1,7 @@
 """Operation keys run once whatever the hosts, paths and services of their routes, and whichever builds serve them."""
 
 import pytest
+from fleet_simulator import jobs, tenant_deployment
 from fleet_simulator import world as worlds
 from fleet_simulator.routes import HOST, make_route
 from fleet_simulator.tenant_deployment import ROUTE_PATHS, TenantDeployment
@@ -12,6 +13,7 @@
 
 KEYED, OTHER_HOST, MOVED_PATH = ROUTE_PATHS["idempotent"], "moved.example", "/keyed/elsewhere/x"
 RETURN_MS, RESTART_MS, WINDOW_MS = 6000, 2500, 60000
+LONG_REQUEST_MS, RUN_STARTED_MS = 20000, 300
 
 
 @pytest.fixture(autouse=True)
@@ -78,6 +80,27 @@
     assert answers == {here.got if here.status == 200 else there.got}
 
 
+def test_repeat_at_the_new_host_meets_the_first_run_still_in_progress_and_then_gets_its_answer(monkeypatch):
+    """The route moves while the first run is in progress."""
+    monkeypatch.setattr(tenant_deployment, "REQUEST_MS", LONG_REQUEST_MS)
+    respond, held = jobs.Job.respond, []
+    deployment = TenantDeployment()
+    slow = keyed_route(host=HOST, **{"guard-ms": LONG_REQUEST_MS})
+    assert deployment.modify(upsert={"route-table": [slow]}) == 200
+    monkeypatch.setattr(jobs.Job, "respond", lambda job: held.append(job))
+    first = deployment.begin(KEYED, host=HOST, operation_key="shared")
+    deployment.run_for(RUN_STARTED_MS)
+    assert len(held) == 1
+    assert deployment.modify(upsert={"route-table": [dict(slow, host=OTHER_HOST)]}) == 200
+    early = send(deployment, OTHER_HOST, edge=1)
+    monkeypatch.setattr(jobs.Job, "respond", respond)
+    respond(held[0])
+    deployment.finish(first)
+    late = send(deployment, OTHER_HOST, edge=1)
+    assert (first.status, early.status, late.status) == (200, 409, 200) and late.got == first.got
+    assert runs(deployment, first, early, late) == [1, 0, 0]
+
+
 @pytest.mark.parametrize("spelling", ["H.EXAMPLE", f"{HOST}:80", "h.Example:8080"])
 def test_spellings_of_a_host_share_its_keys(deployment, spelling):
     first = send(deployment)
