Give a tenant what was done with its credential before any tenant held it

Callers saw operations run twice inside their key's window (TWICE), kept turns answered 404 (LOST) and budgets that started anew (BUDGET), with all machines up: a client used a credential that no tenant held, on a keyless route or while there were no subscribers, and a change gave it to a tenant.

Cause: ids carry the tenant that holds the credential, and none where none does. The records didn't say whose they were, so nothing could find them under the tenant later.

Change: operations whose ids carry no tenant name the credential, and the ledger keeps it in the record. A change of the routing names the credentials that no earlier version knew; when it is accepted, the ledger gives their keys, programs, turns and open attempts to the tenant. The meaning changes at one place in the order, under version 6 of the ledger's rules, so replicas of two builds decide alike, and edges that lag behind the change send what stands for the tenant's ids. Only records made with the credential are adopted, so tenants stay apart. Operations and results of keys moved to a module of their own.

--- a/frostpost/cluster/control_client.py
+++ b/frostpost/cluster/control_client.py
@@ -35,15 +35,16 @@
 
 
 @inlineCallbacks
-def set_routing(agent, base, version, body, digest, wait_ms):
+def set_routing(agent, base, version, body, digest, adopted, wait_ms):
     """Replace the routing `base`. Returns Result[version, RoutingConflict | RoutingForgotten | Unavailable].
 
     digest: identifies this change among others of the same version; resubmitting an accepted change returns Ok again.
+    adopted: the AdoptedCredentials of the change.
     Ok comes once every daemon with a running lease honours this version or a later one. After Unavailable the change
     may still be accepted.
     """
     until_ms = now_ms(agent) + wait_ms
-    change = SetRouting(base, version, body, digest, agent.settings.ack_ms * RETENTION_RATIO)
+    change = SetRouting(base, version, body, digest, agent.settings.ack_ms * RETENTION_RATIO, adopted)
     result = yield call_replicas_unleased(agent, change, wait_ms)
     if result.is_error():
         return result
--- a/frostpost/daemon/event_loop.py
+++ b/frostpost/daemon/event_loop.py
@@ -6,7 +6,8 @@
 
 from frostpost.ledger.operations import Finish, Release, Settle, Unclaim
 from frostpost.ledger.results import Reserved, Won
-from frostpost.program_ledger.messages import AbortAttempt, EndAttempt, ReleaseOperationKey, ResolveOperationKey
+from frostpost.program_ledger.key_messages import ReleaseOperationKey, ResolveOperationKey
+from frostpost.program_ledger.messages import AbortAttempt, EndAttempt
 from frostpost.virtual_synchrony.config_messages import (
     ConfigBodyChunk,
     ConfigBodyRequest,
--- a/frostpost/platform/control.py
+++ b/frostpost/platform/control.py
@@ -14,6 +14,7 @@
 
 from frostpost.cluster.agent_context import now_ms
 from frostpost.daemon.structured_log import log_event
+from frostpost.program_ledger.messages import AdoptedCredentials
 from frostpost.proxy.failures import Unavailable
 from frostpost.proxy.models import ClientBounds
 
@@ -32,6 +33,13 @@
 RETIREMENT_STATUS = {"in_service": 200, "completed": 200, "unknown": 404, "few": 409}
 
 
+class BuiltChange(Struct, frozen=True):
+    """The body to store for a change, and the credentials that it gives to tenants for the first time."""
+
+    body: bytes
+    adopted: tuple[AdoptedCredentials, ...]
+
+
 class RoutingChange(Struct):
     """One requested change.
 
@@ -89,10 +97,10 @@
     )
 
 
-def build_body(change, current):
-    """Build the body to store for a change that has not been applied.
+def build_change(change, current):
+    """Build what to submit for a change that has not been applied.
 
-    `current` is the RoutingState that was read for it. Returns Result[bytes, ErrorResponse].
+    `current` is the RoutingState that was read for it. Returns Result[BuiltChange, ErrorResponse].
     """
     if change.base != current.version:
         return Error(ErrorResponse(412, VersionConflict(current.version)))
@@ -104,7 +112,7 @@
     body = routing.encode_body(built.ok[0], current.body)
     if len(body) > MAX_DOCUMENT_BYTES:
         return Error(ErrorResponse(413, DocumentTooLarge(len(body))))
-    return Ok(body)
+    return Ok(BuiltChange(body, routing.adopted_credentials(built.ok[0], current.body)))
 
 
 @inlineCallbacks
@@ -123,11 +131,17 @@
             agent, change.issue, remaining_ms(agent, deadlines.response_ms)
         )
         return result.map_error(lambda error: ErrorResponse(503, error))
-    built_body = build_body(change, current)
-    if built_body.is_error():
-        return built_body
+    built = build_change(change, current)
+    if built.is_error():
+        return built
     result = yield control_client().set_routing(
-        agent, change.base, change.issue, built_body.ok, change.digest, remaining_ms(agent, deadlines.response_ms)
+        agent,
+        change.base,
+        change.issue,
+        built.ok.body,
+        change.digest,
+        built.ok.adopted,
+        remaining_ms(agent, deadlines.response_ms),
     )
     return result.map_error(error_response)
 
--- a/frostpost/platform/routing.py
+++ b/frostpost/platform/routing.py
@@ -1,13 +1,15 @@
 """Converts the platform's configuration document into `Routing` and into the body that is stored."""
 
 import json
-from collections import Counter
+from collections import Counter, defaultdict
 from hashlib import sha256
 
 import msgspec
 from expression import Error, Ok
 from msgspec import UNSET, Raw, Struct
 
+from frostpost.program_ledger.ids import credential_id
+from frostpost.program_ledger.messages import AdoptedCredentials
 from frostpost.proxy.credentials import credential_digest
 from frostpost.proxy.models import ClientBounds, Route, Routing, ScalingBounds, Service, Tenant
 
@@ -160,13 +162,32 @@
     text = json.dumps(document, separators=(",", ":"), allow_nan=False).encode()
     former = {}
     if replaced_body:
-        stored = msgspec.json.decode(replaced_body, type=StoredDocument)
-        replaced = msgspec.json.decode(stored.document, type=Subscribers)
-        after = holders_of(msgspec.convert(document, Subscribers))
-        former = former_holders(stored.former_holders, holders_of(replaced), after)
+        stored_former, replaced = stored_holders(replaced_body)
+        former = former_holders(stored_former, replaced, holders_of(msgspec.convert(document, Subscribers)))
     return msgspec.json.encode(StoredDocument(Raw(text), former))
 
 
+def stored_holders(body):
+    """Return the former and the current tenants of a stored body, by the digests of their credentials."""
+    stored = msgspec.json.decode(body, type=StoredDocument)
+    return stored.former_holders, holders_of(msgspec.json.decode(stored.document, type=Subscribers))
+
+
+def adopted_credentials(document, replaced_body):
+    """Return the AdoptedCredentials of a document: those that no earlier version knew.
+
+    replaced_body: the stored body of the version that the document replaces; without one nothing was served before.
+    """
+    if not replaced_body:
+        return ()
+    stored_former, replaced = stored_holders(replaced_body)
+    adopted = defaultdict(list)
+    for digest, name in holders_of(msgspec.convert(document, Subscribers)).items():
+        if digest not in stored_former and digest not in replaced:
+            adopted[name].append(credential_id(digest))
+    return tuple(AdoptedCredentials(name, tuple(credentials)) for name, credentials in adopted.items())
+
+
 def document_from_body(body):
     """Return the document's bytes from a stored body; an empty body is the empty configuration."""
     return bytes(msgspec.json.decode(body, type=StoredDocument).document) if body else EMPTY_DOCUMENT
--- a/frostpost/program_ledger/apply.py
+++ b/frostpost/program_ledger/apply.py
@@ -3,18 +3,16 @@
 from collections.abc import Callable
 from heapq import heappop
 
-from . import keys, placement, routing_versions, task_leases, turns
+from . import adoption, keys, placement, record_owners, routing_versions, task_leases, turns
+from .key_messages import ClaimOperationKey, ReleaseOperationKey, ResolveOperationKey
 from .messages import (
     AbortAttempt,
     BeginAttempt,
-    ClaimOperationKey,
     CompleteRetirement,
     EndAttempt,
     ReadRetirement,
     ReadRouting,
     ReassignAttempt,
-    ReleaseOperationKey,
-    ResolveOperationKey,
     RetireReplica,
     SetRouting,
 )
@@ -49,16 +47,18 @@
     return type(op) in HANDLERS or type(op) in KEY_HANDLERS or type(op) in RETIREMENT_HANDLERS
 
 
-def apply_operation(program_ledger, now_ms, members, voters, op, rules=keys.TENANT_KEY_RULES):
+def apply_operation(program_ledger, now_ms, members, voters, op, rules=adoption.ADOPTION_RULES):
     """Execute an operation and return its result.
 
     `members` and `voters` are names, `rules` is the version of the ledger's rules in force. Raises KeyError for an
     operation that is not one of the program ledger.
     """
+    op = adoption.under_rules(op, rules)
     if type(op) in RETIREMENT_HANDLERS:
         return RETIREMENT_HANDLERS[type(op)](program_ledger, members, voters, op)
     if type(op) in KEY_HANDLERS:
-        return KEY_HANDLERS[type(op)](program_ledger, now_ms, op, keys.record_name(op, rules))
+        name = record_owners.recorded_name(program_ledger, keys.record_name(op, rules), op.credential)
+        return KEY_HANDLERS[type(op)](program_ledger, now_ms, op, name)
     return HANDLERS[type(op)](program_ledger, now_ms, op)
 
 
@@ -74,6 +74,7 @@
     "turn": turns.expire_turn,
     "account": turns.expire_account,
     "key": keys.expire_key,
+    "adoption": adoption.expire_adoption,
     "tomb": expire_tombstone,
 }
 
--- a/frostpost/program_ledger/ids.py
+++ b/frostpost/program_ledger/ids.py
@@ -1,5 +1,7 @@
 """Ids of attempts, turns, programs and operation keys in the ledger: those of clients, qualified by tenant."""
 
+CREDENTIAL_ID_LENGTH = 32
+
 
 def scoped_id(scope, client_id):
     """Return a client's id qualified by its tenant, so that equal ids of two tenants differ.
@@ -9,6 +11,11 @@
     return f"{scope}\n{client_id}" if scope else client_id
 
 
+def credential_id(digest):
+    """Return what identifies a credential in the ledger: the start of its digest, 128 bits in hexadecimal."""
+    return digest[:CREDENTIAL_ID_LENGTH]
+
+
 def hosted_key(host, key):
     """Return the form of an operation key in `KeyOperation`s, which names the host that the client asked for.
 
@@ -24,6 +31,11 @@
     return scope + separator + (key if has_host else host)
 
 
+def scope_of(ledger_id):
+    """Return the tenant that qualifies an id, empty if there is none."""
+    return ledger_id.rpartition("\n")[0]
+
+
 def client_id_of(ledger_id):
     """Return the id as the client sent it; the inverse of `scoped_id`."""
     return ledger_id.rpartition("\n")[2]
--- a/frostpost/program_ledger/keys.py
+++ b/frostpost/program_ledger/keys.py
@@ -6,8 +6,11 @@
 
 from heapq import heappush
 
-from .ids import tenant_key
-from .messages import AttemptEnded, KeyAnswered, KeyClaimed, KeyInProgress, NoAttempt
+from msgspec import structs
+
+from .ids import scope_of, tenant_key
+from .key_messages import KeyAnswered, KeyClaimed, KeyInProgress
+from .messages import AttemptEnded, NoAttempt
 from .state import OperationKey
 from .turns import add_tombstone
 
@@ -26,7 +29,8 @@
         return NoAttempt(op.attempt)
     existing = program_ledger.keys.get(name)
     if existing is None:
-        add_record(program_ledger, name, OperationKey(op.attempt, now_ms + op.window_ms))
+        credential = "" if scope_of(name) else op.credential
+        add_record(program_ledger, name, OperationKey(op.attempt, now_ms + op.window_ms, credential=credential))
         return KeyClaimed()
     if existing.answered:
         return KeyAnswered(existing.answer)
@@ -39,6 +43,15 @@
     heappush(program_ledger.expiries, (record.until_ms, "key", name))
 
 
+def merge_record(program_ledger, name, record):
+    """Add the record of a key; if there is one already, the first claim stays until the last window has ended."""
+    existing = program_ledger.keys.get(name)
+    if existing is not None:
+        first, last = sorted((existing, record), key=lambda claimed: claimed.until_ms)
+        record = structs.replace(first, until_ms=last.until_ms)
+    add_record(program_ledger, name, record)
+
+
 def tombstone_name(op):
     """Return the name of the tombstone for a key that an attempt released.
 
@@ -75,11 +88,7 @@
     """
     hosted, program_ledger.keys = program_ledger.keys, {}
     for hosted_name in sorted(hosted, key=lambda name: (hosted[name].until_ms, name)):
-        record, name = hosted[hosted_name], tenant_key(hosted_name)
-        first = program_ledger.keys.get(name)
-        if first is not None:
-            record = OperationKey(first.attempt, record.until_ms, first.answer, first.answered)
-        add_record(program_ledger, name, record)
+        merge_record(program_ledger, tenant_key(hosted_name), hosted[hosted_name])
 
 
 def expire_key(program_ledger, now_ms, name):
--- a/frostpost/program_ledger/messages.py
+++ b/frostpost/program_ledger/messages.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from .key_messages import KeyOperation, KeyResult
 from .task_messages import TaskOperation, TaskResult
 
 
@@ -20,9 +21,10 @@
 class BeginAttempt(Struct, array_like=True, frozen=True, tag="begin"):
     """Reserve `amount` tokens of a program's budget and a runner for one attempt at a turn.
 
-    `parts` are the prompt's leading parts with their tokens. The last four fields are for the leader, which queues the
-    operation while no candidate has a free slot: the service, the rank of the route (lowest first), the longest time in
-    the queue, and the time remaining until the program's deadline.
+    `parts` are the prompt's leading parts with their tokens. `pool` to `deadline_in_ms` are for the leader, which
+    queues the operation while no candidate has a free slot: the service, the rank of the route (lowest first), the
+    longest time in the queue, and the time remaining until the program's deadline. `credential` identifies the client's
+    credential, if there is one and the ids carry no tenant.
     """
 
     attempt: str
@@ -40,6 +42,7 @@
     rank: int = 0
     max_queue_ms: int = 0
     deadline_in_ms: int = 0
+    credential: str = ""
 
 
 class ReassignAttempt(Struct, array_like=True, frozen=True, tag="move"):
@@ -65,27 +68,11 @@
     attempt: str
 
 
-class ClaimOperationKey(Struct, array_like=True, frozen=True, tag="claimKey"):
-    """Claim an operation key for an attempt."""
+class AdoptedCredentials(Struct, array_like=True, frozen=True):
+    """Credentials of a tenant that no earlier version of the routing knew, as `BeginAttempt` identifies them."""
 
-    key: str
-    attempt: str
-    window_ms: int
-
-
-class ResolveOperationKey(Struct, array_like=True, frozen=True, tag="resolveKey"):
-    """Record the answer of a claimed key."""
-
-    key: str
-    attempt: str
-    answer: bytes
-
-
-class ReleaseOperationKey(Struct, array_like=True, frozen=True, tag="disclaimKey"):
-    """Release a claimed key whose request was not executed and will not be."""
-
-    key: str
-    attempt: str
+    tenant: str
+    credentials: tuple[str, ...]
 
 
 class SetRouting(Struct, array_like=True, frozen=True, tag="setRouting"):
@@ -99,6 +86,7 @@
     body: bytes
     digest: bytes
     retention_ms: int
+    adopted: tuple[AdoptedCredentials, ...] = ()
 
 
 class ReadRouting(Struct, array_like=True, frozen=True, tag="lookRouting"):
@@ -133,9 +121,7 @@
     | ReassignAttempt
     | EndAttempt
     | AbortAttempt
-    | ClaimOperationKey
-    | ResolveOperationKey
-    | ReleaseOperationKey
+    | KeyOperation
     | SetRouting
     | ReadRouting
     | RetireReplica
@@ -181,20 +167,6 @@
     attempt: str
 
 
-class KeyClaimed(Struct, array_like=True, frozen=True, tag="claimed"):
-    """The attempt owns the key."""
-
-
-class KeyInProgress(Struct, array_like=True, frozen=True, tag="KeyAtWork"):
-    """Another attempt owns the key, which has no answer yet."""
-
-
-class KeyAnswered(Struct, array_like=True, frozen=True, tag="keyAnswered"):
-    """The key has an answer."""
-
-    answer: bytes
-
-
 class RoutingSet(Struct, array_like=True, frozen=True, tag="routingSet"):
     """The change was accepted as this version."""
 
@@ -238,9 +210,7 @@
     | TokensSpent
     | NoCapacity
     | NoAttempt
-    | KeyClaimed
-    | KeyInProgress
-    | KeyAnswered
+    | KeyResult
     | RoutingSet
     | RoutingConflict
     | RoutingState
--- a/frostpost/program_ledger/routing_versions.py
+++ b/frostpost/program_ledger/routing_versions.py
@@ -1,6 +1,6 @@
 """Versions of the routing, and the retirement of storage daemons."""
 
-from . import accepted_changes
+from . import accepted_changes, adoption
 from .messages import NoAttempt, RetirementState, RoutingConflict, RoutingForgotten, RoutingSet, RoutingState
 
 
@@ -13,6 +13,7 @@
     if op.base != program_ledger.routing_version or op.version <= program_ledger.routing_version:
         return RoutingConflict(program_ledger.routing_version)
     program_ledger.routing_version, program_ledger.routing_body = op.version, op.body
+    adoption.adopt(program_ledger, now_ms, op.adopted)
     accepted_changes.record(program_ledger, now_ms, op.version, op.digest, op.retention_ms)
     return RoutingSet(op.version)
 
--- a/frostpost/program_ledger/state.py
+++ b/frostpost/program_ledger/state.py
@@ -8,20 +8,25 @@
 
 
 class Turn(Struct, array_like=True):
-    """A completed turn; `tokens` counts its prompt and output, which its runner may still have cached."""
+    """A completed turn; `tokens` counts its prompt and output, which its runner may still have cached.
+
+    `credential` is the one it was made with while no tenant holds it, `tenant` the one that adopted it.
+    """
 
     program: str
     previous: str
     kept_until_ms: int
     runner: str = ""
     tokens: int = 0
+    credential: str = ""
+    tenant: str = ""
 
 
 class Attempt(Struct, array_like=True):
     """An open attempt.
 
     `until_ms` is when it stops occupying its runner, `placed` whether it occupies it now, `moves` the number of its
-    last reassignment.
+    last reassignment; `credential` and `tenant` as in `Turn`.
     """
 
     program: str
@@ -32,25 +37,35 @@
     prompt_tokens: int = 0
     placed: bool = True
     moves: int = 0
+    credential: str = ""
+    tenant: str = ""
 
 
 class Account(Struct, array_like=True):
-    """Token budget of a program: `spent` by ended attempts, `reserved` for the `open` ones."""
+    """Token budget of a program: `spent` by ended attempts, `reserved` for the `open` ones.
+
+    `credential` is the one it was opened with while no tenant holds it.
+    """
 
     budget: int
     spent: int = 0
     reserved: int = 0
     touched_ms: int = 0
     open: int = 0
+    credential: str = ""
 
 
 class OperationKey(Struct, array_like=True):
-    """An operation key: the attempt that owns it, the end of its window, and its answer once there is one."""
+    """An operation key: the attempt that owns it, the end of its window, and its answer once there is one.
+
+    `credential` is the one it was claimed with while no tenant holds it.
+    """
 
     attempt: str
     until_ms: int
     answer: bytes = b""
     answered: bool = False
+    credential: str = ""
 
 
 class RunnerUse(Struct, array_like=True):
@@ -69,6 +84,13 @@
     until_ms: int
 
 
+class Adoption(Struct, array_like=True):
+    """The tenant that was the first to hold a credential, and the end of the adoption's retention."""
+
+    tenant: str
+    until_ms: int
+
+
 class TaskLease(Struct, array_like=True):
     """The lease of a task's subject; its fencing token rises with each change of the owner."""
 
@@ -104,7 +126,7 @@
 
 
 class ProgramLedger(Struct, array_like=True):
-    """Turns, attempts, accounts, operation keys, runners and routing.
+    """Turns, attempts, accounts, operation keys, runners, routing and adopted credentials.
 
     `tombs` holds the expiry of the tombstones of ended attempts, `refused` the results of refused attempts, `taken` the
     accepted changes of the routing by version, oldest first (see `accepted_changes`).
@@ -124,3 +146,4 @@
     taken: dict[int, AcceptedChange] = {}
     forgotten_version: int = 0
     tasks: PlatformTasks = field(default_factory=PlatformTasks)
+    adoptions: dict[str, Adoption] = {}
--- a/frostpost/program_ledger/turns.py
+++ b/frostpost/program_ledger/turns.py
@@ -7,8 +7,10 @@
 
 from heapq import heappush
 
+from .ids import scope_of
 from .messages import AttemptBegun, AttemptEnded, NoAttempt, NoCapacity, NoTurn, TokensSpent
 from .placement import assign_runner, free_slots, release_slot
+from .record_owners import tenant_of, with_recorded_names
 from .state import Account, Attempt, Turn
 
 ACCOUNT_RETENTION_MS = 7200000
@@ -38,10 +40,11 @@
 
 def is_waiting_for_slot(program_ledger, op):
     """Return whether `begin` would return NoCapacity, which leaves the ledger unchanged."""
-    name, turns = op.attempt, program_ledger.turns
-    if name in program_ledger.tombs or name in turns or name in program_ledger.attempts:
+    name = op.attempt
+    if name in program_ledger.tombs or name in program_ledger.turns or name in program_ledger.attempts:
         return False
-    if op.previous and op.previous not in turns:
+    op = with_recorded_names(program_ledger, op)
+    if op is None:
         return False
     if is_budget_spent(program_ledger.accounts.get(op.program), op.budget or UNBOUNDED_BUDGET_TOKENS):
         return False
@@ -60,8 +63,10 @@
     attempt = program_ledger.attempts.get(op.attempt)
     if attempt is not None:
         return begin_result(program_ledger, op.attempt, attempt)
-    if op.previous and op.previous not in program_ledger.turns:
+    recorded = with_recorded_names(program_ledger, op)
+    if recorded is None:
         return refuse(program_ledger, now_ms, op.attempt, NoTurn(op.previous))
+    op = recorded
     account = program_ledger.accounts.get(op.program)
     budget = op.budget or UNBOUNDED_BUDGET_TOKENS
     if is_budget_spent(account, budget):
@@ -71,20 +76,38 @@
     if runner is None:
         return NoCapacity(wait_ms=20)
     if account is None:
-        account = program_ledger.accounts[op.program] = Account(budget, 0, 0, now_ms)
+        account = program_ledger.accounts[op.program] = new_account(op, budget, now_ms)
         heappush(program_ledger.expiries, (now_ms + ACCOUNT_RETENTION_MS, "account", op.program))
     account.budget, account.touched_ms = budget, now_ms
     account.reserved += op.amount
     account.open += 1
     until_ms = now_ms + op.remaining_ms + SLOT_RELEASE_MARGIN_MS
-    program_ledger.attempts[op.attempt] = Attempt(
-        op.program, op.amount, op.previous, runner, until_ms, op.prompt_tokens
-    )
+    program_ledger.attempts[op.attempt] = new_attempt(program_ledger, op, runner, until_ms)
     heappush(program_ledger.expiries, (until_ms, "attempt", op.attempt))
     extend_chain_retention(program_ledger, op.previous, until_ms + CHAIN_RETENTION_MARGIN_MS)
     return begin_result(program_ledger, op.attempt, program_ledger.attempts[op.attempt])
 
 
+def new_account(op, budget, now_ms):
+    """Return the account of a program that an attempt opens."""
+    return Account(budget, 0, 0, now_ms, credential="" if scope_of(op.program) else op.credential)
+
+
+def new_attempt(program_ledger, op, runner, until_ms):
+    """Return the record of an attempt that begins."""
+    tenant = tenant_of(program_ledger, op.attempt, op.credential)
+    return Attempt(
+        op.program,
+        op.amount,
+        op.previous,
+        runner,
+        until_ms,
+        op.prompt_tokens,
+        credential="" if tenant else op.credential,
+        tenant="" if scope_of(op.attempt) else tenant,
+    )
+
+
 def reassign(program_ledger, now_ms, op):
     """Assign another runner to an attempt; idempotent by the number of the reassignment."""
     attempt = program_ledger.attempts.get(op.attempt)
@@ -152,7 +175,13 @@
         return NoAttempt(op.attempt)
     until_ms = now_ms + op.retention_ms
     program_ledger.turns[op.attempt] = Turn(
-        attempt.program, attempt.previous, until_ms, attempt.runner, attempt.prompt_tokens + op.tokens
+        attempt.program,
+        attempt.previous,
+        until_ms,
+        attempt.runner,
+        attempt.prompt_tokens + op.tokens,
+        attempt.credential,
+        attempt.tenant,
     )
     heappush(program_ledger.expiries, (until_ms, "turn", op.attempt))
     extend_chain_retention(program_ledger, attempt.previous, until_ms)
--- a/frostpost/proxy/models.py
+++ b/frostpost/proxy/models.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from frostpost.program_ledger.ids import hosted_key, scoped_id
+from frostpost.program_ledger.ids import credential_id, hosted_key, scoped_id
 
 
 class Route(Struct, frozen=True):
@@ -134,6 +134,11 @@
     id_scope: str = ""
     delays: Delays = field(default_factory=Delays)
 
+    @property
+    def ledger_credential(self):
+        """What identifies the credential in the ledger, which needs it only while the ids name no tenant."""
+        return "" if self.id_scope else credential_id(self.credential)
+
     @property
     def ledger_attempt(self):
         """The attempt id by which the ledger and the turn store know this request."""
--- a/frostpost/proxy/turn.py
+++ b/frostpost/proxy/turn.py
@@ -119,6 +119,7 @@
             rank=route.rank,
             max_queue_ms=leader_wait_ms(remaining_ms),
             deadline_in_ms=deadline_in_ms(agent, call),
+            credential=call.ledger_credential,
         )
 
     result = yield request_slot(agent, route, service, call, (), operation, until_ms, waits_at_leader=True)
--- a/frostpost/virtual_synchrony/endpoints.py
+++ b/frostpost/virtual_synchrony/endpoints.py
@@ -27,4 +27,4 @@
     protocol_revision: int = 1
 
 
-PROTOCOL_REVISION = 5
+PROTOCOL_REVISION = 6
--- a/tests/fleet_simulator/plants.py
+++ b/tests/fleet_simulator/plants.py
@@ -6,17 +6,11 @@
 from frostpost.cluster import agent_sessions, control_client, lease_client, operation_server, voter_reconfiguration
 from frostpost.platform import client_response, control, routing, runner_list
 from frostpost.platform.server import reply
-from frostpost.program_ledger import accepted_changes, keys, routing_versions, turns
+from frostpost.program_ledger import accepted_changes, adoption, keys, routing_versions, turns
 from frostpost.program_ledger import apply as ledger
-from frostpost.program_ledger.messages import (
-    ClaimOperationKey,
-    EndAttempt,
-    KeyClaimed,
-    ReadRouting,
-    RoutingSet,
-    SetRouting,
-)
-from frostpost.proxy import exchange_state, forwarding, pool, stream, turn
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyClaimed
+from frostpost.program_ledger.messages import EndAttempt, ReadRouting, RoutingSet, SetRouting
+from frostpost.proxy import exchange_state, forwarding, pool, serve, stream, turn
 from frostpost.proxy.attempts import Attempts
 from frostpost.proxy.failures import TimedOut, Unknown
 from frostpost.proxy.outcomes import Broken
@@ -135,8 +129,8 @@
 def unordered_ack():
     """A change is acknowledged before it is ordered."""
 
-    def set_routing(agent, base, version, body, digest, wait_ms):
-        control_client.call_replicas_unleased(agent, SetRouting(base, version, body, digest, wait_ms), 50)
+    def set_routing(agent, base, version, body, digest, adopted, wait_ms):
+        control_client.call_replicas_unleased(agent, SetRouting(base, version, body, digest, wait_ms, adopted), 50)
         return succeed(control_client.Ok(version))
 
     return [(control_client, "set_routing", set_routing)]
@@ -263,9 +257,37 @@
     "fetched_in_rounds": fetched_in_rounds,
     "vote_kept": vote_kept,
 }
+
+
+def adoption_skipped():
+    """What was done with a credential stays without a tenant once the credential becomes known."""
+    return [(adoption, "adopt", lambda program_ledger, now_ms, adopted: None)]
+
+
+def turns_not_adopted():
+    """Turns made with a credential stay without a tenant once the credential becomes known."""
+    return [(adoption, "adopt_turns", lambda program_ledger, tenants: None)]
+
+
+def budgets_not_adopted():
+    """Budgets spent with a credential stay without a tenant once the credential becomes known."""
+    return [(adoption, "adopt_programs", lambda program_ledger, tenants: None)]
+
+
+def former_holders_forgotten():
+    """Ids of clients whose credential was removed have no tenant."""
+    return [(serve, "id_scope_of", lambda routing, tenant, call: tenant.name)]
+
+
+TENANT_PLANTS = {
+    "adoption_skipped": adoption_skipped,
+    "turns_not_adopted": turns_not_adopted,
+    "budgets_not_adopted": budgets_not_adopted,
+    "former_holders_forgotten": former_holders_forgotten,
+}
 LEASE_PLANTS = {"lease_stretched": lease_stretched, "leases_not_waited_out": leases_not_waited_out}
 
 
 def planted(name):
     """Returns a context manager that injects the named fault; an empty name injects none."""
-    return patched_attributes((PLANTS | COPY_PLANTS | LEASE_PLANTS)[name]() if name else [])
+    return patched_attributes((PLANTS | COPY_PLANTS | LEASE_PLANTS | TENANT_PLANTS)[name]() if name else [])
--- a/tests/fleet_simulator/tenant_deployment.py
+++ b/tests/fleet_simulator/tenant_deployment.py
@@ -43,10 +43,13 @@
 
 
 class TenantDeployment:
-    """Runs requests of tenants one by one against the edges of a deployment."""
+    """Runs requests of tenants one by one against the edges of a deployment.
 
-    def __init__(self):
-        self.world, self.operators, status, ready_ms = stage.open_(SEED, document=tenant_document())
+    document: the first configuration, that of `tenant_document` by default.
+    """
+
+    def __init__(self, document=None):
+        self.world, self.operators, status, ready_ms = stage.open_(SEED, document=document or tenant_document())
         assert status == 200 and ready_ms >= 0
         self.crowd, self.serial = stage.crowd_of(self.world, "c"), 0
 
--- a/tests/proxy_harness.py
+++ b/tests/proxy_harness.py
@@ -9,14 +9,8 @@
 from frostpost.cluster import lease_client
 from frostpost.cluster.agent_context import AgentContext
 from frostpost.daemon.machine import Machine
-from frostpost.program_ledger.messages import (
-    AttemptBegun,
-    AttemptEnded,
-    BeginAttempt,
-    ClaimOperationKey,
-    EndAttempt,
-    KeyClaimed,
-)
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyClaimed
+from frostpost.program_ledger.messages import AttemptBegun, AttemptEnded, BeginAttempt, EndAttempt
 from frostpost.proxy import idempotency, operation_retry, pool, serve, turn
 from frostpost.proxy.failures import Unavailable
 from frostpost.proxy.models import Call, Route, Routing, Runner, RunnerHead, Service, Sink, Wire
--- a/tests/test_fence_stories.py
+++ b/tests/test_fence_stories.py
@@ -11,7 +11,8 @@
 from twisted.internet.defer import Deferred
 
 from frostpost.cluster import lease_client, operation_client
-from frostpost.program_ledger.messages import BeginAttempt, ClaimOperationKey, EndAttempt, ResolveOperationKey
+from frostpost.program_ledger.key_messages import ClaimOperationKey, ResolveOperationKey
+from frostpost.program_ledger.messages import BeginAttempt, EndAttempt
 from frostpost.proxy import pool
 from frostpost.proxy.exchange import Exchange
 from frostpost.proxy.wait_policy import MAX_OUTAGE_LEASES, WAIT_RATIO
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -46,12 +46,12 @@
             Error(Unavailable(250)) if self.unavailable else Ok(apply_operation(self.ledger, 0, (), (), operation))
         )
 
-    def set_routing(self, agent, base, version, body, digest, wait_ms):
+    def set_routing(self, agent, base, version, body, digest, adopted, wait_ms):
         self.wait_times_ms.append(wait_ms)
         concurrent_change, self.concurrent_change = self.concurrent_change, None
         if concurrent_change is not None:
             apply_operation(self.ledger, 0, (), (), concurrent_change)
-        result = apply_operation(self.ledger, 0, (), (), SetRouting(base, version, body, digest, 1000))
+        result = apply_operation(self.ledger, 0, (), (), SetRouting(base, version, body, digest, 1000, adopted))
         return succeed(Ok(version) if isinstance(result, RoutingSet) else Error(result))
 
     def wait_until_honoured(self, agent, version, wait_ms):
--- a/tests/test_platform_large_answers.py
+++ b/tests/test_platform_large_answers.py
@@ -5,7 +5,7 @@
 from fleet_simulator import world as worlds
 
 from frostpost.cluster import operation_client
-from frostpost.program_ledger.messages import ClaimOperationKey, KeyAnswered, ResolveOperationKey
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyAnswered, ResolveOperationKey
 
 WINDOW_MS = 60_000
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,7 +8,7 @@
 
 from frostpost.platform import front
 from frostpost.platform.runner_protocol import make_wire
-from frostpost.program_ledger.messages import ClaimOperationKey, KeyAnswered, ResolveOperationKey
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyAnswered, ResolveOperationKey
 from frostpost.proxy import serve
 
 SEAL = b"X-Server-Seal: 3e1b.07\r\n"
--- a/tests/test_platform_tenant_changes.py
+++ b/tests/test_platform_tenant_changes.py
@@ -4,7 +4,7 @@
 
 import pytest
 from fleet_simulator.routes import make_route
-from fleet_simulator.tenant_deployment import ROUTE_PATHS, TenantDeployment, subscriber, tenant_document
+from fleet_simulator.tenant_deployment import ROUTE_PATHS, TENANTS, TenantDeployment, subscriber, tenant_document
 
 from frostpost.platform import former_credentials, routing
 from frostpost.proxy.credentials import credential_digest
@@ -120,6 +120,31 @@
     assert (len(deployment.runs(first)), len(deployment.runs(other))) == (1, 1)
 
 
+def test_tenants_that_exchange_their_credentials_keep_their_own_ids(deployment):
+    first = deployment.send(KEYED, "key-a1", operation_key="shared")
+    exchanged = [subscriber("tenant-a", ["key-b1"]), subscriber("tenant-b", ["key-a1", "key-a2"])]
+    assert deployment.modify(upsert={"subscribers": exchanged}) == 200
+    other = deployment.send(KEYED, "key-a1", operation_key="shared")
+    repeat = deployment.send(KEYED, "key-b1", operation_key="shared", edge=1)
+    assert [len(deployment.runs(request)) for request in (first, other, repeat)] == [1, 1, 0]
+    assert repeat.got == first.got and other.got != first.got
+
+
+def test_ids_stay_those_of_a_tenant_while_there_are_no_subscribers(deployment):
+    """The last tenants are removed and come back with new credentials."""
+    first = deployment.send(KEYED, "key-a1", operation_key="shared")
+    turn = deployment.send(TURN, "key-a1", body=b"first;")
+    removed = {"subscribers": list(TENANTS)}
+    assert deployment.modify(upsert={"route-table": keyless_routes()}, remove=removed) == 200
+    repeat = deployment.send(KEYED, "key-a1", operation_key="shared", edge=1)
+    second = deployment.send(TURN, "key-a1", body=b"second;", previous=turn.try_id, edge=1)
+    assert deployment.modify(upsert={"subscribers": [subscriber("tenant-a", ["key-a9"])]}) == 200
+    again = deployment.send(KEYED, "key-a9", operation_key="shared")
+    third = deployment.send(TURN, "key-a9", body=b"third;", previous=second.try_id)
+    assert [len(deployment.runs(request)) for request in (first, repeat, again)] == [1, 0, 0]
+    assert (second.status, third.status) == (200, 200) and repeat.got == again.got == first.got
+
+
 def test_former_credential_admits_nobody_where_one_is_required(deployment):
     assert deployment.modify(upsert={"subscribers": [subscriber("tenant-a", ["key-a2"])]}) == 200
     refused = deployment.send(KEYED, "key-a1")
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -6,7 +6,8 @@
 from test_platform_path import RequestPath, response_bytes
 
 from frostpost.platform import document_changes, routing
-from frostpost.program_ledger.messages import BeginAttempt, ClaimOperationKey
+from frostpost.program_ledger.key_messages import ClaimOperationKey
+from frostpost.program_ledger.messages import BeginAttempt
 from frostpost.proxy.models import Tenant
 
 KEY, OTHER_KEY = b"m82thhkmgjqnirth5mgj", b"y5rcpihhacruddedev3n"
--- a/tests/test_program_ledger_key_rules.py
+++ b/tests/test_program_ledger_key_rules.py
@@ -9,17 +9,16 @@
 from frostpost.ledger.operations import Rules, Tick
 from frostpost.ledger.state import Ledger
 from frostpost.program_ledger.ids import hosted_key, scoped_id
-from frostpost.program_ledger.keys import TENANT_KEY_RULES
-from frostpost.program_ledger.messages import (
-    AttemptEnded,
+from frostpost.program_ledger.key_messages import (
     ClaimOperationKey,
     KeyAnswered,
     KeyClaimed,
     KeyInProgress,
-    NoAttempt,
     ReleaseOperationKey,
     ResolveOperationKey,
 )
+from frostpost.program_ledger.keys import TENANT_KEY_RULES
+from frostpost.program_ledger.messages import AttemptEnded, NoAttempt
 from frostpost.virtual_synchrony.configuration import ConfigurationId, Entry
 from frostpost.virtual_synchrony.endpoints import Member
 
--- a/tests/test_program_ledger_model.py
+++ b/tests/test_program_ledger_model.py
@@ -7,23 +7,25 @@
 from frostpost.ledger.apply import decode_state, encode
 from frostpost.ledger.state import Ledger
 from frostpost.program_ledger import apply as program_ledgers
+from frostpost.program_ledger.key_messages import (
+    ClaimOperationKey,
+    KeyAnswered,
+    KeyClaimed,
+    KeyInProgress,
+    ReleaseOperationKey,
+    ResolveOperationKey,
+)
 from frostpost.program_ledger.messages import (
     AbortAttempt,
     AttemptBegun,
     AttemptEnded,
     BeginAttempt,
     Candidate,
-    ClaimOperationKey,
     EndAttempt,
-    KeyAnswered,
-    KeyClaimed,
-    KeyInProgress,
     NoAttempt,
     NoCapacity,
     NoTurn,
     ReassignAttempt,
-    ReleaseOperationKey,
-    ResolveOperationKey,
     TokensSpent,
 )
 from frostpost.program_ledger.turns import CHAIN_RETENTION_MARGIN_MS
--- a/tests/test_proxy_fencing.py
+++ b/tests/test_proxy_fencing.py
@@ -5,17 +5,13 @@
 from proxy_harness import HEAD, ProxyHarness, chunk, make_route, make_runner, response_bytes, types_of
 from twisted.internet.defer import Deferred
 
-from frostpost.program_ledger.messages import (
-    AttemptBegun,
-    AttemptEnded,
-    BeginAttempt,
+from frostpost.program_ledger.key_messages import (
     ClaimOperationKey,
-    EndAttempt,
     KeyClaimed,
-    NoAttempt,
     ReleaseOperationKey,
     ResolveOperationKey,
 )
+from frostpost.program_ledger.messages import AttemptBegun, AttemptEnded, BeginAttempt, EndAttempt, NoAttempt
 from frostpost.proxy import failures
 
 REFUSAL = response_bytes(b"", status=b"503 Full", headers=b"Not-Run: 1\r\n")
--- a/tests/test_proxy_forwarding.py
+++ b/tests/test_proxy_forwarding.py
@@ -5,14 +5,14 @@
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from frostpost.program_ledger.messages import (
-    AttemptEnded,
+from frostpost.program_ledger.key_messages import (
     ClaimOperationKey,
     KeyAnswered,
     KeyInProgress,
     ReleaseOperationKey,
     ResolveOperationKey,
 )
+from frostpost.program_ledger.messages import AttemptEnded
 from frostpost.proxy import failures, runner_discovery
 from frostpost.proxy.idempotency import deserialize_answer, serialize_answer
 from frostpost.proxy.outcomes import Answer
--- a/tests/test_proxy_wait_policy.py
+++ b/tests/test_proxy_wait_policy.py
@@ -8,13 +8,12 @@
 from twisted.internet.defer import Deferred, succeed
 
 from frostpost.cluster import lease_client, lease_waiters
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyClaimed
 from frostpost.program_ledger.messages import (
     AbortAttempt,
     AttemptBegun,
     BeginAttempt,
-    ClaimOperationKey,
     EndAttempt,
-    KeyClaimed,
     NoCapacity,
     ReassignAttempt,
 )
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -7,7 +7,7 @@
 
 from frostpost.program_ledger.apply import apply_operation
 from frostpost.program_ledger.ids import hosted_key, tenant_key
-from frostpost.program_ledger.messages import ClaimOperationKey, KeyAnswered
+from frostpost.program_ledger.key_messages import ClaimOperationKey, KeyAnswered
 from frostpost.virtual_synchrony.events import EntryRecord, Record, SnapshotRecord
 from frostpost.write_ahead_log import records
 
