Don't queue a configuration body again while its write to disk goes on

Cause: a version is known only once its write is synced. Until then each heartbeat of each peer made the daemon ask for it again, and fetch and queue its body again; each copy made the next sync longer. Versions that are being written are now pending, and neither fetched nor queued again until they are recorded as stored, which also holds when a write has failed and is tried again.

--- a/frostpost/tenant_config/body_store.py
+++ b/frostpost/tenant_config/body_store.py
@@ -38,7 +38,8 @@
     """The bodies stored by a daemon.
 
     `own_source` is this daemon's name as a source, `bodies` and `stored_ms` are by digest, `items` by source and
-    number. `vector` is the number up to which each source's sequence is complete.
+    number. `vector` is the number up to which each source's sequence is complete. `pending` holds the digests of the
+    versions, by source and number, that are being written to disk.
     """
 
     own_source: str
@@ -49,6 +50,7 @@
     vector: dict[str, int] = {}
     transfers: dict[str, BodyTransfer] = {}
     stored_ms: dict[str, int] = {}
+    pending: dict[tuple[str, int], str] = {}
 
 
 class BodyWrite(Struct, frozen=True):
@@ -73,6 +75,7 @@
 
 def record_stored(store, item, body, now_ms):
     """Add a body that has been written to disk and extend the version vector."""
+    store.pending.pop((item.source, item.number), None)
     if item.digest:
         store.bodies[item.digest] = body
         store.stored_ms[item.digest] = now_ms
@@ -85,6 +88,19 @@
     return store
 
 
+def pending_write(store, item, body):
+    """Return the BodyWrite of a version, which is pending until it has been recorded as stored."""
+    store.pending[(item.source, item.number)] = item.digest
+    return BodyWrite(item, body)
+
+
+def is_pending(store, item):
+    """Return whether a version, or another one that brings its body, is being written to disk."""
+    if (item.source, item.number) in store.pending:
+        return True
+    return bool(item.digest) and item.digest not in store.bodies and item.digest in store.pending.values()
+
+
 def request_versions(store, peer, vector):
     """Request versions from a peer whose version vector is ahead.
 
@@ -110,15 +126,16 @@
 def request_bodies(store, peer, message, now_ms):
     """Start or resume fetching the bodies that a peer offers. Returns (store, messages, BodyWrites).
 
-    Versions that need no transfer are returned for writing at once.
+    Versions that need no transfer are returned for writing at once. Pending ones are left out: peers offer them with
+    each heartbeat until they are recorded as stored.
     """
     requests, writes = [], []
     for source, number, digest, size in message.items:
         item = BodyVersion(source, number, digest, size)
-        if number <= store.vector.get(source, 0) or number in store.items.get(source, {}):
+        if number <= store.vector.get(source, 0) or number in store.items.get(source, {}) or is_pending(store, item):
             continue
         if not digest or digest in store.bodies:
-            writes.append(BodyWrite(item, store.bodies.get(digest, b"")))
+            writes.append(pending_write(store, item, store.bodies.get(digest, b"")))
             continue
         transfer = store.transfers.get(digest)
         if transfer is None:
@@ -155,7 +172,7 @@
     body = bytes(transfer.data)
     if digest_of(body) != message.digest:
         return store, [], []
-    return store, [], [BodyWrite(transfer.item, body)]
+    return store, [], [pending_write(store, transfer.item, body)]
 
 
 def prune(store, wanted):
