--- a/tests/fleet_simulator/tenant_deployment.py
+++ b/tests/fleet_simulator/tenant_deployment.py
@@ -123,14 +123,17 @@
             if run.try_id == request.try_id and run.at_ms >= request.sent_ms and run.body.endswith(request.body)
         ]
 
-    def modify(self, **change):
-        """Change the configuration on top of the current one; returns the status of the response."""
+    def begin_modify(self, **change):
+        """Send a change on top of the current configuration; returns the Deferred of the status of the response."""
         operator = self.operators[0]
         document = stage.await_(self.world, operator.read(), 5000)
         change = {"issue": document["issue"] + 1, **change}
         version = Version(change["issue"], document["issue"], paths_of(document), document, self.world.now_ms())
-        until_ms = self.world.now_ms() + 5000
-        status = stage.await_(self.world, operator.change(version, "Modify", change, until_ms), 6000)
+        return operator.change(version, "Modify", change, self.world.now_ms() + 5000)
+
+    def modify(self, **change):
+        """Change the configuration on top of the current one; returns the status of the response."""
+        status = stage.await_(self.world, self.begin_modify(**change), 6000)
         self.run_for(self.world.notes.sheet["apply"])
         return status
 
--- a/tests/test_platform_adopted_credentials.py
+++ b/tests/test_platform_adopted_credentials.py
@@ -1,7 +1,7 @@
 """What a client did before a tenant held its credential is that tenant's own once the configuration says so."""
 
 import pytest
-from fleet_simulator import jobs, tenant_deployment
+from fleet_simulator import jobs, stage, tenant_deployment
 from fleet_simulator import world as worlds
 from fleet_simulator.routes import HOST, first_document
 from fleet_simulator.tenant_deployment import (
@@ -9,16 +9,18 @@
     ROUTE_PATHS,
     TENANTS,
     TenantDeployment,
+    header_values,
     subscriber,
     tenant_document,
 )
 
-from frostpost.cluster import replica_daemon
+from frostpost.cluster import lease_client, replica_daemon
 from frostpost.program_ledger.adoption import ADOPTION_RULES
 
 TURN, KEYED = ROUTE_PATHS["turn"], ROUTE_PATHS["idempotent"]
 RETURN_MS, RESTART_MS, WINDOW_MS = 6000, 2500, 60000
 LONG_REQUEST_MS, RUN_STARTED_MS = 20000, 300
+HONOURED_MS, CHANGE_MS = 300, 6000
 ALL_TENANTS = [subscriber(name, keys) for name, keys in TENANTS.items()]
 
 
@@ -114,6 +116,38 @@
     assert [len(deployment.runs(request)) for request in (first, early, again)] == [1, 0, 0]
 
 
+def subscribers_shown(deployment, request):
+    return {tuple(header_values(run, b"x-subscriber")) for run in deployment.runs(request)}
+
+
+def test_ids_are_shared_by_an_edge_that_honours_the_change_and_one_that_has_yet_to(late, monkeypatch):
+    """The change reaches the second edge late; until then it sends ids without a tenant."""
+    deployment, honour = late.deployment, lease_client.on_routing_update
+    behind = deployment.world.of("edge")[1].owner
+    monkeypatch.setattr(
+        lease_client, "on_routing_update", lambda agent, update: agent is behind or honour(agent, update)
+    )
+    keyed = deployment.send(KEYED, late.key, operation_key="shared")
+    first = deployment.send(TURN, late.key, body=b"first;")
+    change = deployment.begin_modify(upsert=late.change)
+    deployment.run_for(HONOURED_MS)
+    new_key = deployment.send(KEYED, late.key, operation_key="new", edge=1)
+    repeats = [deployment.send(KEYED, late.key, operation_key="shared", edge=edge) for edge in (1, 0)]
+    assert deployment.send(KEYED, late.key, operation_key="new").got == new_key.got
+    second = deployment.send(TURN, late.key, body=b"second;", previous=first.try_id)
+    third = deployment.send(TURN, late.key, body=b"third;", previous=second.try_id, edge=1)
+    fourth = deployment.send(TURN, late.key, body=b"fourth;", previous=third.try_id)
+    tenant = (late.change["subscribers"][0]["name"].encode(),)
+    assert [subscribers_shown(deployment, turn) for turn in (second, third, fourth)] == [{tenant}, {()}, {tenant}]
+    assert [repeat.got for repeat in repeats] == [keyed.got] * 2
+    assert [len(deployment.runs(request)) for request in (keyed, new_key, *repeats)] == [1, 1, 0, 0]
+    assert deployment.runs(fourth)[0].body.startswith(b"first;")
+    assert deployment.send(KEYED, "key-b1", operation_key="new").got != new_key.got
+    assert not change.called
+    monkeypatch.setattr(lease_client, "on_routing_update", honour)
+    assert stage.await_(deployment.world, change, CHANGE_MS) == 200
+
+
 @pytest.mark.parametrize("other_key", [None, "key-b1"])
 def test_adopted_operation_key_is_unknown_to_others(other_key):
     deployment = TenantDeployment(keyless_document())
--- a/tests/test_program_ledger_adoption.py
+++ b/tests/test_program_ledger_adoption.py
@@ -1,13 +1,9 @@
 """The ledger gives a tenant what was done with a credential before a change of the routing made it known."""
 
 import pytest
-from msgspec import msgpack
+from ledger_replica import FENCE, LedgerReplica
 
-from frostpost.ledger import snapshots
-from frostpost.ledger.apply import apply
-from frostpost.ledger.entities import SingletonRole
 from frostpost.ledger.operations import Rules, Tick
-from frostpost.ledger.state import Ledger
 from frostpost.program_ledger.adoption import ADOPTION_RETENTION_MS, ADOPTION_RULES
 from frostpost.program_ledger.ids import hosted_key, scoped_id
 from frostpost.program_ledger.key_messages import (
@@ -33,28 +29,16 @@
     TokensSpent,
 )
 from frostpost.program_ledger.turns import is_waiting_for_slot
-from frostpost.virtual_synchrony.configuration import ConfigurationId, Entry
-from frostpost.virtual_synchrony.endpoints import Member
 
-CONFIGURATION, MEMBER, FENCE = ConfigurationId(1, "s1", 1), Member("s1", 1), 5
 WINDOW_MS, RETENTION_MS, BUDGET, AMOUNT = 60000, 60000, 100, 60
 CREDENTIAL, OTHER_CREDENTIAL = "c1", "c2"
 
 
-class Replica:
-    """A ledger; `reload` stores it as a snapshot and loads it before each operation."""
+class Replica(LedgerReplica):
+    """A ledger whose operations and changes of the routing are sent by edges and a control daemon."""
 
-    def __init__(self, reload=False, rules=ADOPTION_RULES):
-        self.ledger, self.reload = Ledger(members=(MEMBER,), rules=rules), reload
-        self.ledger.duties["ticks"] = SingletonRole(MEMBER, FENCE)
-
-    def apply(self, op):
-        if self.reload:
-            state = snapshots.run_to_completion(snapshots.encode_in_slices(self.ledger, 1))
-            self.ledger = snapshots.run_to_completion(snapshots.decode_in_slices(state))
-        index = self.ledger.index + 1
-        self.ledger, result = apply(self.ledger, Entry(CONFIGURATION, index, index, MEMBER, index, msgpack.encode(op)))
-        return result
+    def __init__(self, reload=False):
+        super().__init__(reload, ADOPTION_RULES)
 
     def adopt(self, **credentials):
         version = self.ledger.program_ledger.routing_version
--- a/tests/test_program_ledger_key_rules.py
+++ b/tests/test_program_ledger_key_rules.py
@@ -1,13 +1,9 @@
 """Operation keys belong to tenants; replicas of the build before and of this one change over at the same place."""
 
 import pytest
-from msgspec import msgpack
+from ledger_replica import FENCE, LedgerReplica
 
-from frostpost.ledger import snapshots
-from frostpost.ledger.apply import apply
-from frostpost.ledger.entities import SingletonRole
 from frostpost.ledger.operations import Rules, Tick
-from frostpost.ledger.state import Ledger
 from frostpost.program_ledger.ids import hosted_key, scoped_id
 from frostpost.program_ledger.key_messages import (
     ClaimOperationKey,
@@ -19,10 +15,7 @@
 )
 from frostpost.program_ledger.keys import TENANT_KEY_RULES
 from frostpost.program_ledger.messages import AttemptEnded, NoAttempt
-from frostpost.virtual_synchrony.configuration import ConfigurationId, Entry
-from frostpost.virtual_synchrony.endpoints import Member
 
-CONFIGURATION, MEMBER, FENCE = ConfigurationId(1, "s1", 1), Member("s1", 1), 5
 WINDOW_MS, LATER_MS = 60000, 1000
 
 
@@ -42,20 +35,11 @@
     return ReleaseOperationKey(key_of(host), attempt)
 
 
-class Replica:
-    """A ledger under the rules of the build before; `reload` stores it as a snapshot and loads it."""
+class Replica(LedgerReplica):
+    """A ledger under the rules of the build before."""
 
     def __init__(self, reload=False):
-        self.ledger, self.reload = Ledger(members=(MEMBER,), rules=TENANT_KEY_RULES - 1), reload
-        self.ledger.duties["ticks"] = SingletonRole(MEMBER, FENCE)
-
-    def apply(self, op):
-        if self.reload:
-            state = snapshots.run_to_completion(snapshots.encode_in_slices(self.ledger, 1))
-            self.ledger = snapshots.run_to_completion(snapshots.decode_in_slices(state))
-        index = self.ledger.index + 1
-        self.ledger, result = apply(self.ledger, Entry(CONFIGURATION, index, index, MEMBER, index, msgpack.encode(op)))
-        return result
+        super().__init__(reload, TENANT_KEY_RULES - 1)
 
     def raise_rules(self):
         self.apply(Rules(TENANT_KEY_RULES))
